Refuse Content-Length with Transfer-Encoding, and encodings in HTTP/1.0; close the connection

Checked: h11 lets Transfer-Encoding win where both are there, so what Content-Length covers was read as the next call (acceptor.py, _begin looked at Content-Length alone). Ruled out: two differing Content-Length, unknown encodings and blanks before the colon, which h11 refuses itself.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -391,6 +391,21 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_a_call_hidden_in_a_body_is_not_passed_on(version: str) -> None:
+    """Content-Length with Transfer-Encoding is refused and its connection closed; 1.0 knows no encodings."""
+    async def scenario() -> None:
+        async with site() as here:
+            hidden, length = job("hidden"), "" if version == "1.0" else "Content-Length: 99\r\n"
+            head = f"POST /lookup HTTP/{version}\r\nHost: a\r\nX-Correlation-Id: c1\r\n{length}"
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden)
+            assert (await read_message(reader)).start.split()[1] == "400" and await reader.read() == b""
+            assert here.workers[0].methods() == [] and not here.program.counters.counts["calls"]
+            writer.close()
+    play(scenario())
+
+
 def test_calls_over_the_limit_are_refused_at_once() -> None:
     """Clients are told to come back; what is in hand goes on."""
     async def scenario() -> None:
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -191,8 +191,12 @@
 
     def _begin(self, request: h11.Request) -> None:
         self.request, self.body, self.size = request, [], 0
-        length = dict(request.headers).get(b"content-length", b"0")
-        if int(length) > MAX_BODY:
+        headers = dict(request.headers)
+        if b"transfer-encoding" in headers and (
+                b"content-length" in headers or request.http_version < b"1.1"):
+            # Guards against a request hidden in a body: where it ends depends on which header one believes.
+            self._reject(400, "the length of the body is ambiguous")
+        elif int(headers.get(b"content-length", b"0")) > MAX_BODY:
             self._reject(413, "the body is too large")
 
     def _collect(self, data: bytes | bytearray) -> None:
