Reload on SIGHUP: move the watch to the new discovery, keep all that is under way

Checked: nothing handled SIGHUP (program.py, run), so its default ended the program; GW_DISCOVERY would come before the file, so a reload reads without it. SIGHUP is blocked before the handler stands and after the loop has ended, since a closing asyncio loop puts the default back. A file that cannot be used is one logged line.

--- a/tests/site.py
+++ b/tests/site.py
@@ -104,7 +104,7 @@
         async with asyncio.timeout(PATIENCE_S):
             yield here
     finally:
-        for part in (program.registry, program.acceptor, program.workers):
+        for part in (program.tasks, program.registry, program.acceptor, program.workers):
             await part.stop()
         for server in (listing, *fleet, *([discovery] if discovery else [])):
             server.stop()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,13 +6,14 @@
 import os
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from tests.site import CONFIG, document
-from weldquay.net.config import Address, ConfigError, load
+from weldquay.net.config import Address, ConfigError, load, reload
 
 
 def test_the_example_is_read() -> None:
@@ -26,6 +27,21 @@
     assert config.settings.asks_list and config.settings.max_retry_after_ns == 2_000_000_000
 
 
+def test_a_reload_takes_the_address_of_discovery_alone(tmp_path: Path) -> None:
+    """The file comes before the variable then; what else has changed is named and stays."""
+    path = tmp_path / "config.json"
+    environ = {"GW_CONFIG": str(path), "GW_DISCOVERY": "127.0.0.1:1"}
+    path.write_text(json.dumps(document()))
+    running = load(environ)
+    path.write_text(json.dumps({
+        **document(), "discovery": "127.0.0.1:2", "name": "other", "seed": "7", "limits": {"sockets": 99}}))
+    moved, others = reload(environ, running)
+    assert moved == replace(running, discovery=Address("127.0.0.1", 2)) and others == ["name", "sockets"]
+    path.write_text("{")
+    with pytest.raises(ConfigError):
+        reload(environ, running)
+
+
 BAD: list[tuple[dict[str, Any], str]] = [
     ({"listen": "here"}, "GW_LISTEN"), ({"listen": "h:99999"}, "GW_LISTEN"),
     ({"discovery": None}, "GW_DISCOVERY"),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,11 +10,12 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
 from typing import Any
 
 import pytest
 
-from example.toy import Message, Server, read_message, request, write_message
+from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Scripted, document, job, site
 from weldquay.net import acceptor, program, registry
 from weldquay.net.workers import Connection, Worker
@@ -339,8 +340,51 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("draining", [False, True])
+def test_a_reload_moves_the_watch_and_keeps_all_else(
+        tmp_path: Any, monkeypatch: pytest.MonkeyPatch, draining: bool) -> None:
+    """Under way or draining, more than once, also while the new address hangs; the last address counts."""
+    class Hanging(Server):
+        async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(3600)
+
+    async def scenario() -> None:
+        hanging, newer = Hanging(), Discovery()
+        async with site(workers=2) as here:
+            for worker in here.workers:
+                worker.script = worker.accept
+                newer.add(worker)
+            newer.revision = 7
+            owed = asyncio.create_task(here.post())
+            busy = await until(lambda: next((each for each in here.workers if each.methods()), None))
+            ending = asyncio.create_task(here.program.finish()) if draining else None
+            for server in (hanging, newer):
+                await server.start()
+                path.write_text(json.dumps({**document(), "listen": "h:1", "discovery": server.address}))
+                here.program.reload_wanted.set()
+                while not server.writers:
+                    await asyncio.sleep(0.01)
+            await until(lambda: here.program.registry.revision == 7)
+            await newer.change(next(each for each in here.workers if each is not busy), "DRAINING")
+            await until(lambda: here.program.registry.revision == 8)
+            assert here.program.phase is (program.Phase.DRAINING if draining else program.Phase.SERVING)
+            await busy.tell("c1", state="done", result="kept")
+            assert (await owed).body == b"kept"
+            if ending is not None:
+                await ending
+        hanging.stop()
+        newer.stop()
+    path = tmp_path / "config.json"
+    monkeypatch.setenv("GW_CONFIG", str(path))
+    monkeypatch.setenv("GW_DISCOVERY", "127.0.0.1:1")  # what was told at the start no longer counts
+    play(scenario())
+
+
 def test_a_signal_ends_the_program(tmp_path: Any) -> None:
-    """The whole program as `run` starts it: SIGUSR1 prints the counters, SIGTERM ends it with status 0."""
+    """The whole program as `run` starts it: SIGUSR1 prints the counters, SIGTERM ends it with status 0.
+
+    SIGHUP never ends it: not with a bad file, which is told in one line, nor in the midst of its end.
+    """
     async def scenario() -> None:
         path = tmp_path / "config.json"
         path.write_text(json.dumps({**document(), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}))
@@ -354,8 +398,17 @@
             process.send_signal(signal.SIGUSR1)
             while b"counters {" not in (line := await process.stderr.readline()):
                 assert line
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            while b"ERROR" not in (line := await process.stderr.readline()):
+                assert line
+            assert b"stays as it is" in line and b"is serving" in await process.stderr.readline()
             process.send_signal(signal.SIGTERM)
-            rest = await process.stderr.read()
+            rest = b""
+            while line := await process.stderr.readline():
+                rest += line
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
             assert b"counters {" in rest and await process.wait() == 0
     play(scenario())
 
--- a/weldquay/__main__.py
+++ b/weldquay/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 
 from weldquay.net.config import ConfigError, load
@@ -13,6 +14,8 @@
 
 def main() -> int:
     """Serve until told to stop; the exit status (2 for a bad configuration)."""
+    # Until there is a handler SIGHUP waits: it asks for a reload and must never end the program.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -13,6 +13,8 @@
 from weldquay.net.messages import MAX_PORT, MemberList, MessageError, member_list
 from weldquay.settings import Pairs, decode_settings
 
+MOVABLE = {"discovery"}  # what a reload takes from the file; the rest stays as it was at the start
+AT_START = {"seed", "known"}  # of use at a start only, so a reload need not name their changes
 LEAST_SOCKETS = 64  # below that there is no room for clients and workers side by side
 
 
@@ -65,6 +67,17 @@
         raise ConfigError(" ".join(str(error).split())) from None
 
 
+def reload(environ: Mapping[str, str], running: Config) -> tuple[Config, list[str]]:
+    """The running configuration with what may move, as the file has it now; and what needs a new start.
+
+    For what may move the file comes before the variables: they cannot change while the program runs.
+    """
+    fresh = load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+    names = [each.name for each in fields(Config) if getattr(fresh, each.name) != getattr(running, each.name)]
+    moved = replace(running, **{name: getattr(fresh, name) for name in MOVABLE})
+    return moved, [name for name in names if name not in MOVABLE | AT_START]
+
+
 def read(environ: Mapping[str, str], document: dict[str, Any]) -> Config:
     """The configuration from its document; the variables come first."""
     pairs = Pairs.from_nested(document.get("settings"))
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -5,16 +5,18 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 import sys
 import time
 from enum import Enum
 
 from weldquay.net.acceptor import Acceptor
-from weldquay.net.config import Config
+from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
 from weldquay.net.registry import Registry
+from weldquay.net.tasks import Tasks
 from weldquay.net.workers import Workers
 
 log = logging.getLogger(__name__)
@@ -29,6 +31,7 @@
 
     STARTING = "starting"
     SERVING = "serving"
+    RELOADING = "reloading"  # takes in a new configuration, then goes on as before
     DRAINING = "draining"  # serves what still comes, wants nothing new
     STOPPING = "stopping"  # owes nothing any more
     STOPPED = "stopped"
@@ -42,6 +45,8 @@
         self.phase = Phase.STARTING
         self.counters = Counters()
         self.drain_begun = asyncio.Event()
+        self.reload_wanted = asyncio.Event()
+        self.tasks = Tasks()
         self.collection_begun = 0.0
 
     def _enter(self, phase: Phase) -> None:
@@ -61,6 +66,7 @@
         self.acceptor = Acceptor(self.config, self.counters, exchange, self.serving)
         await self.acceptor.listen()
         exchange.start(self.workers, self.registry)
+        self.tasks.start(self._reload(), "reloading of the configuration")
         self._enter(Phase.SERVING)
 
     async def finish(self) -> None:
@@ -71,6 +77,7 @@
         while self.exchange.owes or self.workers.busy:
             await asyncio.sleep(LOOK_S)
         self._enter(Phase.STOPPING)
+        await self.tasks.stop()
         await self.registry.stop()
         await self.acceptor.stop()
         await self.workers.stop()
@@ -82,6 +89,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.drain)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGHUP, self.reload_wanted.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         try:
             await self.start()
         except OSError as error:
@@ -89,17 +98,37 @@
             return 1
         gc.freeze()  # what is there now stays: the collector need not look at it again
         gc.callbacks.append(self._measure_collection)
-        marks = asyncio.create_task(self._measure_delay())
+        self.tasks.start(self._measure_delay(), "measuring of the loop's delay")
         await self.drain_begun.wait()
         await self.finish()
-        marks.cancel()
         self.print_counters()
+        # Guards against a late SIGHUP: with the loop its handler goes, and the default would end the program.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         return 0
 
     def drain(self) -> None:
         """Begin to end: on SIGTERM or SIGINT."""
         self.drain_begun.set()
 
+    async def _reload(self) -> None:
+        """Take in the configuration again after each SIGHUP, a drain included; a bad one changes nothing."""
+        while True:
+            await self.reload_wanted.wait()
+            self.reload_wanted.clear()
+            before = self.phase
+            self._enter(Phase.RELOADING)
+            try:
+                self.config, others = reload(os.environ, self.config)
+            except ConfigError as error:
+                self.counters.add("reloads_refused")
+                log.error("the configuration stays as it is: %s", error)
+            else:
+                self.counters.add("reloads")
+                self.registry.move(self.config)
+                if others:
+                    log.warning("only a new start takes in what changed in: %s", ", ".join(others))
+            self._enter(before)
+
     def print_counters(self) -> None:
         """Write the counters to standard error: on SIGUSR1 and at exit."""
         log.info("counters %s", self.counters.line())
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -29,6 +29,12 @@
         self.revision = config.known.revision
         self.watching: asyncio.Task[None] | None = None
 
+    def move(self, config: Config) -> None:
+        """Follow discovery to its new address, from the whole list on: its revisions may be counted anew."""
+        if config.discovery != self.config.discovery:
+            self.config, self.revision = config, 0
+            self.watch()
+
     def watch(self) -> None:
         """Ask for the changes since the list that is known; a watch under way is replaced."""
         if self.watching is not None:
