Keep clients' connections for 2 s of a drain, and answer all that is owed before SIGKILL

Logs: n1 drained from 16.5 s and closed its clients' connections after each answer (acceptor.py, _write; program.py, LINGER_S) while n0, restarted before it, was back only at 18.4 s: clients had nowhere to go. Checked: the program that ends early is not started earlier; what SIGKILL finds is answered by nobody, so the module answers it shortly before (event Ending).

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -214,7 +214,7 @@
             assert size() < 200_000 and len(here.program.exchange.calls) <= 1
             await here.program.finish()
             client.close()
-    monkeypatch.setattr(program, "LINGER_S", 0.01)
+    monkeypatch.setattr(program, "STAY_S", 0.01)
     monkeypatch.setattr(acceptor, "LINGER_S", 0.1)
     play(scenario())
 
@@ -329,14 +329,48 @@
             assert health.start.split()[1] == "503"
             late = asyncio.create_task(here.post("c2"))
             await worker.until("POST", "POST")
-            await asyncio.sleep(program.LINGER_S)
+            await until(lambda: here.program.phase is program.Phase.CLOSING)
             for call in ("c1", "c2"):
                 await worker.tell(call, state="done", result=call)
             for call, answer in (("c1", await owed), ("c2", await late)):
                 assert (answer.body.decode(), answer.headers["connection"]) == (call, "close")
             await ending
             assert here.program.phase is program.Phase.STOPPED
-    monkeypatch.setattr(program, "LINGER_S", 0.1)
+    monkeypatch.setattr(program, "STAY_S", 0.1)
+    play(scenario())
+
+
+def test_a_drain_keeps_its_clients_connections_for_a_while() -> None:
+    """Closed at once, its clients had nowhere to go while another dispatcher was away as well."""
+    async def scenario() -> None:
+        async with site() as here:
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            ending = asyncio.create_task(here.program.finish())
+            await until(lambda: here.program.phase is program.Phase.DRAINING)
+            for number in range(2):
+                writer.write(job(f"c{number}"))
+                answer = await read_message(reader)
+                assert (answer.body, answer.headers.get("connection")) == (b"TEXT", None)
+            assert await reader.read() == b"" and here.program.phase is not program.Phase.DRAINING
+            writer.close()
+            await ending
+    play(scenario())
+
+
+@pytest.mark.parametrize(("path", "status"), [("/lookup", "503"), ("/import", "502")])
+def test_the_end_of_a_drain_answers_what_is_still_owed(
+        path: str, status: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGKILL would leave it without any answer; the worker is told that nobody waits."""
+    async def scenario() -> None:
+        async with site() as here:
+            here.workers[0].script = here.workers[0].accept
+            owed = asyncio.create_task(here.post(path=path))
+            await here.workers[0].until("POST")
+            await here.program.finish()
+            assert (await owed).start.split()[1] == status
+            await here.workers[0].until("POST", "DELETE")
+    monkeypatch.setattr(program, "STAY_S", 0.1)
+    monkeypatch.setattr(program, "LONGEST_S", 0.0)
     play(scenario())
 
 
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -221,9 +221,14 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """The dispatcher is about to end: what is still owed is answered now."""
+
+
 Event = (
     Membership | Request | AttemptEnded | ProbeEnded | AttemptNote | StreamBegun | ClientGone | TimerDue
-    | PeerMessage
+    | PeerMessage | Ending
 )
 
 
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -25,9 +25,9 @@
 from dataclasses import dataclass, field, replace
 
 from weldquay.interface import (
-    Action, AttemptEnded, AttemptNote, Cancel, ClientGone, CloseIdle, Effect, Event, Fail, Group, JobClass,
-    ListKind, LoadReport, Membership, Outcome, PeerMessage, Probe, ProbeEnded, Refuse, Request, Send,
-    SetTimer, Settings, StreamBegun, Tell, Watch, WorkerEntry, WorkerState,
+    Action, AttemptEnded, AttemptNote, Cancel, ClientGone, CloseIdle, Effect, Ending, Event, Fail, Group,
+    JobClass, ListKind, LoadReport, Membership, Outcome, PeerMessage, Probe, ProbeEnded, Refuse, Request,
+    Send, SetTimer, Settings, StreamBegun, Tell, Watch, WorkerEntry, WorkerState,
 )
 
 SECOND_NS = 1_000_000_000
@@ -239,6 +239,9 @@
             elif isinstance(event, PeerMessage):
                 if event.data[:4] == IDLE_TAG and len(event.data) == 12:
                     self._limit_idle(int.from_bytes(event.data[4:], "little"))
+            elif isinstance(event, Ending):
+                for job in list(self.jobs.values()):
+                    self._answer(job)
             elif isinstance(event, StreamBegun) and event.request in self.jobs:
                 self.jobs[event.request].stream = True
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -41,6 +41,7 @@
         self, config: Config, counters: Counters, exchange: Exchange, serving: Callable[[], bool]
     ) -> None:
         self.config, self.counters, self.exchange, self.serving = config, counters, exchange, serving
+        self.closing = False  # every connection closes after its answer
         self.classes = {name: number for number, name in enumerate(config.class_names)}
         self.connections: dict[Connection, None] = {}
         self.most_connections = config.sockets * 6 // 10
@@ -60,8 +61,9 @@
         assert self.server is not None
         return int(self.server.sockets[0].getsockname()[1])
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+    def begin_closing(self) -> None:
+        """Close the connections on which nothing is under way, and the others after their answers."""
+        self.closing = True
         for connection in list(self.connections):
             if connection.idle:
                 connection.close()
@@ -293,7 +295,7 @@
         headers = headers or []
         if status != 204:
             headers.append((b"Content-Length", b"%d" % len(body)))
-        if close or not self.acceptor.serving():
+        if close or self.acceptor.closing:
             headers.append((b"Connection", b"close"))
         data = self.http.send(h11.Response(
             status_code=status, headers=headers, reason=REASONS.get(status, b"Error"))) or b""
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -161,6 +161,10 @@
             figures.repeat))
         return call
 
+    def end(self) -> None:
+        """Have all that is still owed answered now: the program is about to end."""
+        self._tell(api.Ending())
+
     def client_gone(self, call: Call) -> None:
         """The client left before its answer."""
         if call.open:
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from contextlib import suppress
 from enum import Enum
 
 from weldquay.net.acceptor import Acceptor
@@ -21,7 +22,12 @@
 
 log = logging.getLogger(__name__)
 
-LINGER_S = 0.8  # after SIGTERM clients keep coming for so long; the listener stays for them
+# After SIGTERM clients keep the connections that they have.  Closed at once, these may have nowhere to go, as
+# dispatchers that restart one after another are away together for a while; kept long, they bring calls that
+# cannot end here.
+STAY_S = 2.0
+LONGEST_S, KILL_S = 3.0, 0.7  # SIGKILL comes after the longest deadline, but this at the most, and some more
+LAST_S = 0.25  # before it, what is still owed is answered: time to write that and to tell workers
 LOOK_S = 0.05
 MARK_S = 0.1  # how often the delay of the event loop is measured
 
@@ -32,7 +38,8 @@
     STARTING = "starting"
     SERVING = "serving"
     RELOADING = "reloading"  # takes in a new configuration, then goes on as before
-    DRAINING = "draining"  # serves what still comes, wants nothing new
+    DRAINING = "draining"  # says that it wants no new clients, serves those that it has
+    CLOSING = "closing"  # closes each connection after its answer
     STOPPING = "stopping"  # owes nothing any more
     STOPPED = "stopped"
 
@@ -71,11 +78,19 @@
 
     async def finish(self) -> None:
         """Serve what still comes, until nothing is owed to a client or by a worker; then end."""
+        longest_s = max(each.give_up_ns for each in self.config.settings.classes) / 1e9
+        last = asyncio.get_running_loop().time() + min(longest_s, LONGEST_S) + KILL_S - LAST_S
         self._enter(Phase.DRAINING)
-        await asyncio.sleep(LINGER_S)
-        self.acceptor.close_idle()
-        while self.exchange.owes or self.workers.busy:
-            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(STAY_S)
+        self._enter(Phase.CLOSING)
+        self.acceptor.begin_closing()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(last):
+                await self._settled()
+        self.exchange.end()  # SIGKILL would leave the rest without any answer
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LAST_S / 2):
+                await self._settled()
         self._enter(Phase.STOPPING)
         await self.tasks.stop()
         await self.registry.stop()
@@ -83,6 +98,11 @@
         await self.workers.stop()
         self._enter(Phase.STOPPED)
 
+    async def _settled(self) -> None:
+        """Return once nothing is owed to a client or by a worker."""
+        while self.exchange.owes or self.workers.busy:
+            await asyncio.sleep(LOOK_S)
+
     async def run(self) -> int:
         """Serve until told to stop; the exit status."""
         loop = asyncio.get_running_loop()
