Send jobs that must not run twice on new connections; keep at most two idle ones a worker

Checked: the module's learnt idle limit cannot help, it knows ages by worker, not by connection, and needs a loss to learn; usable() sees nothing, the reset comes only with the next request. At fault: workers.py, _ask, which put any job on any idle connection.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Scripted, document, job, site
 from weldquay.net import acceptor, program, registry
-from weldquay.net.workers import Connection, Worker
+from weldquay.net.workers import MOST_IDLE, Connection, Worker
 
 Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
 
@@ -277,6 +277,27 @@
     play(scenario())
 
 
+def test_a_job_that_must_not_run_twice_goes_on_a_new_connection() -> None:
+    """A kept connection may be reset by the next request: whether that ran nobody could tell."""
+    async def scenario() -> None:
+        async with site() as here:
+            worker = here.workers[0]
+            used = set[asyncio.StreamWriter]()
+
+            async def once(message: Message, writer: asyncio.StreamWriter) -> None:
+                if writer in used:
+                    writer.transport.abort()
+                    return
+                used.add(writer)
+                writer.write(ACCEPTED)
+                await worker.tell(message.headers["x-correlation-id"], state="done", result="ok")
+            worker.script = once
+            for number in range(6):
+                assert (await here.post(f"c{number}", "/import")).body == b"ok"
+            assert len(next(iter(here.program.workers.known.values())).idle) <= MOST_IDLE
+    play(scenario())
+
+
 def test_a_worker_has_one_attempt_of_a_call_at_a_time() -> None:
     """After a break the first one is given up before the second is sent to the same worker."""
     async def scenario() -> None:
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -58,6 +58,7 @@
     payload: object
     deadline_ns: int
     on_answer: Callable[[Answer], None]
+    safe: bool  # to run again
     open: bool = True
     sends: int = 0
     live: dict[int, Attempt] = field(default_factory=dict)
@@ -151,7 +152,8 @@
         left_ns = figures.time_left_ns
         if left_ns is None:
             left_ns = self.config.settings.classes[job_class].give_up_ns
-        call = Call(figures.id, self.last_call, payload, time.monotonic_ns() + left_ns, on_answer)
+        safe = self.config.settings.classes[job_class].effect is api.Effect.SAFE
+        call = Call(figures.id, self.last_call, payload, time.monotonic_ns() + left_ns, on_answer, safe)
         # By way of call_soon: after a stall of the loop the step that answers in time comes first.
         call.overdue = self.loop.call_later(
             (left_ns + OVERDUE_NS) / 1e9, self.loop.call_soon, self._overdue, call)
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -14,7 +14,7 @@
 from weldquay import interface as api
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
-from weldquay.net.exchange import Attempt, Exchange
+from weldquay.net.exchange import Attempt, Call, Exchange
 from weldquay.net.messages import MAX_BODY, Body, Job, Member, MemberList, job_headers, load_in
 from weldquay.net.tasks import Tasks
 
@@ -26,6 +26,7 @@
 GIVE_UP_TIMEOUT_S = 2.0
 LATE_ANSWER_S = 2.0  # after a call-back ended its attempt, the 202 may still take this long
 IDLE_PART = 0.8  # a connection idle for this part of its limit is not used again
+MOST_IDLE = 2  # idle connections kept to a worker, the last used
 SWEEP_S = 1.0
 
 
@@ -223,7 +224,7 @@
         headers = job_headers(attempt.call.id, job, left_ns, worker.host)
         try:
             async with asyncio.timeout(left_ns / 1e9 + LATE_ANSWER_S):
-                reply = await self._ask(worker, b"POST", job.target, headers, job.body, new_work=True)
+                reply = await self._ask(worker, b"POST", job.target, headers, job.body, attempt.call)
         except NotWritten:
             self.exchange.attempt_ended(attempt, api.Outcome.CONNECT_FAILED)
         except Broken:
@@ -271,18 +272,26 @@
 
     async def _ask(
         self, worker: Worker, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
-        body: Body = b"", new_work: bool = False,
+        body: Body = b"", new_work: Call | None = None,
     ) -> Reply:
-        """One request on an idle connection, or on a new one."""
-        connection = self._idle(worker) or await self._connect(worker)
+        """One request on an idle connection, or on a new one.
+
+        A job that may not run again goes on a new one.  Guards against idle connections that are dropped
+        unseen and reset by the next request: whether that ran nobody can tell then.
+        """
+        connection = self._idle(worker) if new_work is None or new_work.safe else None
+        if connection is None:
+            connection = await self._connect(worker)
         reused = False
         try:
-            if new_work and worker.member.state is not api.WorkerState.READY:
+            if new_work is not None and worker.member.state is not api.WorkerState.READY:
                 raise NotWritten  # told of its drain while the connection came up
             reply = await connection.ask(method, target, headers, body)
             reused = connection.rest()
             if reused:
                 worker.idle.append(connection)
+                while len(worker.idle) > MOST_IDLE:
+                    worker.idle.pop(0).abort()
             return reply
         finally:
             if not reused:
