Limit clients' connections by descriptors, memory and time; close after every bad request

Checked by a probe of all client connections: 9,721 ask /_health once and stay, 4,962 never send a whole request; usual clients' requests are whole 3 ms after their first byte and idle up to 11.7 s, call-backs come on a new connection each. Ruled out: a reaction to the closing (the same counts whether evicted or not). At fault: acceptor.py: start_server(backlog=256) accepts 256 a turn before _accept counts one, and asyncio pauses for a second without descriptors; nothing limited the time of a request; rejected and lingering connections were kept; the search for the longest idle one went through all of them each time.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -34,7 +34,7 @@
     path.write_text(json.dumps(document()))
     running = load(environ)
     path.write_text(json.dumps({
-        **document(), "discovery": "127.0.0.1:2", "name": "other", "seed": "7", "limits": {"sockets": 99}}))
+        **document(), "discovery": "127.0.0.1:2", "name": "other", "seed": "7", "limits": {"sockets": 199}}))
     moved, others = reload(environ, running)
     assert moved == replace(running, discovery=Address("127.0.0.1", 2)) and others == ["name", "sockets"]
     path.write_text("{")
@@ -46,6 +46,7 @@
     ({"listen": "here"}, "GW_LISTEN"), ({"listen": "h:99999"}, "GW_LISTEN"),
     ({"discovery": None}, "GW_DISCOVERY"),
     ({"name": ""}, "GW_NAME"), ({"seed": "xyz"}, "seed"), ({"limits": {"sockets": "many"}}, "sockets"),
+    ({"limits": {"memory_mb": 1}}, "memory_mb"), ({"limits": [1]}, "limits"),
     ({"known": []}, "members"), ({"settings": {}}, "services.count"), ({"settings": None}, "services.count"),
 ]
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -45,7 +45,8 @@
     [], [(b"x-correlation-id", b"")], [(b"x-correlation-id", b"a/b")], [(b"x-correlation-id", b"a b")],
     [(b"x-correlation-id", b"\xe9")], [(b"x-correlation-id", b"a" * 129)],
     [ID, (b"x-time-left-ms", b"soon")], [ID, (b"x-time-left-ms", b"-1")], [ID, (b"x-time-left-ms", b"nan")],
-    [ID, (b"x-time-left-ms", b"1e30")], [ID, (b"x-weight-hint", b"")], [ID, (b"x-facts", b"slots")],
+    [ID, (b"x-time-left-ms", b"1e3")], [ID, (b"x-time-left-ms", b"1_0")], [ID, (b"x-time-left-ms", b"")],
+    [ID, (b"x-time-left-ms", b"9" * 5000)], [ID, (b"x-weight-hint", b"")], [ID, (b"x-facts", b"slots")],
     [ID, (b"x-facts", b"slots=inf")],
 ])
 def test_malformed_figures(headers: list[tuple[bytes, bytes]]) -> None:
@@ -54,13 +55,19 @@
         messages.figures(headers)
 
 
-@pytest.mark.parametrize(("target", "name"), [
-    (b"/render", "render"), (b"/render/a/b?c=/d", "render"), (b"/render?x", "render"), (b"/", ""),
-    (b"*", "*"),
+@pytest.mark.parametrize(("path", "name"), [
+    (b"/render", b"render"), (b"/render/a/b", b"render"), (b"//render", b""), (b"/", b""), (b"*", b"*"),
 ])
-def test_class_of_a_call(target: bytes, name: str) -> None:
+def test_class_of_a_call(path: bytes, name: bytes) -> None:
     """The first part of the path."""
-    assert messages.class_name(target) == name
+    assert messages.class_name(path) == name
+
+
+def test_the_last_answer_of_a_connection() -> None:
+    """Whole in itself; to HEAD without its body."""
+    head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\nConnection: close\r\n\r\n"
+    assert messages.last_answer(503, b"text") == head + b"text"
+    assert messages.last_answer(503, b"text", head=True) == head
 
 
 @pytest.mark.parametrize(("told", "expected"), [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -462,8 +462,9 @@
             rest = b""
             while line := await process.stderr.readline():
                 rest += line
-                with suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGHUP)
+                if b"draining" in line or b"closing" in line or b"sto" in line or b"counters" in line:
+                    with suppress(ProcessLookupError):
+                        os.kill(process.pid, signal.SIGHUP)  # send_signal would take the status from asyncio
             assert b"counters {" in rest and await process.wait() == 0
     play(scenario())
 
@@ -514,6 +515,83 @@
     play(scenario())
 
 
+PARTS = [b"", b"POST /loo", HEAD, HEAD + b"X-Correlation-Id: a\r\nContent-Length: 9\r\n\r\nhalf"]
+
+
+@pytest.mark.parametrize("kept", [False, True])
+@pytest.mark.parametrize("part", PARTS)
+def test_a_request_has_a_limited_time(part: bytes, kept: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """From the connection's first moment, or a later request's first byte; a kept connection may lie idle."""
+    async def scenario() -> None:
+        async with site() as here:
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            if kept:
+                writer.write(job())
+                assert (await read_message(reader)).body == b"TEXT"
+                await asyncio.sleep(3 * acceptor.REQUEST_S)
+            writer.write(part)
+            if kept and not part:
+                writer.write(job("c2"))
+                assert (await read_message(reader)).body == b"TEXT"
+            else:
+                assert (await reader.read()).startswith(b"HTTP/1.1 408 " if part else b"")
+            writer.close()
+    monkeypatch.setattr(acceptor, "REQUEST_S", 0.2)
+    play(scenario())
+
+
+def test_a_body_of_many_megabytes_is_refused_and_not_held() -> None:
+    """The client reads why, sends on for a while, and then the connection is closed."""
+    async def scenario() -> None:
+        async with site() as here:
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            writer.write(HEAD + b"X-Correlation-Id: a\r\nContent-Length: 60000000\r\n\r\n")
+            assert (await read_message(reader)).start.split()[1] == "413"
+            with pytest.raises(OSError):
+                for _ in range(60):
+                    writer.write(bytes(1_000_000))
+                    await writer.drain()
+            assert not here.program.acceptor.connections
+    play(scenario())
+
+
+def test_a_crowd_starves_neither_calls_nor_call_backs() -> None:
+    """Connections that say nothing or asked once make room for others; the one with calls stays."""
+    async def scenario() -> None:
+        async with site() as here:
+            here.program.acceptor.most_connections = 10
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            crowd = []
+            for number in range(5):
+                writer.write(job(f"c{number}"))
+                assert (await read_message(reader)).body == b"TEXT"
+                for _ in range(20):
+                    crowd.append(await asyncio.open_connection("127.0.0.1", here.program.acceptor.port))
+                    crowd[-1][1].write(b"GET /_he")
+                assert (await request(here.address, write_message("GET /_health HTTP/1.1"))).body == b"ok"
+                assert len(here.program.acceptor.connections) <= 10
+            assert here.program.counters.counts["evicted_reading"] >= 80
+            for _, each in [*crowd, (reader, writer)]:
+                each.close()
+    play(scenario())
+
+
+def test_no_more_connections_are_accepted_at_once_than_can_be_counted() -> None:
+    """Accepted before any was counted, a crowd took all descriptors, and asyncio paused for a second."""
+    async def scenario() -> None:
+        async with site() as here:
+            address = ("127.0.0.1", here.program.acceptor.port)
+            crowd = [socket.create_connection(address) for _ in range(100)]  # the loop stands still meanwhile
+            files = len(os.listdir("/proc/self/fd"))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert len(os.listdir("/proc/self/fd")) - files <= 2 * acceptor.TAKEN
+            await until(lambda: here.program.counters.counts["client_connections"] >= 100)
+            for each in crowd:
+                each.close()
+    play(scenario())
+
+
 def test_calls_over_the_limit_are_refused_at_once() -> None:
     """Clients are told to come back; what is in hand goes on."""
     async def scenario() -> None:
@@ -535,8 +613,12 @@
         async with site() as here:
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
             for number, (data, status) in enumerate(BAD):
-                answer = await request(here.address, data)
+                their, bad = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+                bad.write(data)
+                answer = await read_message(their)
                 assert int(answer.start.split()[1]) == status, data[:80]
+                assert await their.read() == b"", data[:80]
+                bad.close()
                 writer.write(job(f"c{number}"))
                 assert (await read_message(reader)).body == b"TEXT"
             assert acceptor.MAX_HEAD < 20_000
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum
 
 import h11
 
@@ -14,24 +16,37 @@
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Answer, Call, Exchange, Overload, Served
 from weldquay.net.messages import (
-    MAX_BODY, Body, Figures, Job, MessageError, callback, class_name, figures, retry_after,
+    MAX_BODY, Body, Figures, Job, MessageError, callback, class_name, figures, last_answer, retry_after,
 )
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
 
-READ_SIZE = 64 * 1024
+READ_SIZE = 16 * 1024
 MAX_HEAD = 16 * 1024
-MAX_AHEAD = 2 * MAX_BODY  # bytes that a client may send on while it waits for an answer
-BACKLOG = 256
+MAX_AHEAD = 16 * 1024  # bytes taken in while a call waits; beyond that its client is not read
+WAITING = 1024  # connections in the system's queue; beyond that they come again only after a second
+TAKEN = 8  # connections accepted in one turn of the loop: the others' work goes on in between
+RESERVE = 40  # descriptors for what is neither a client nor a worker, and for connections just accepted
+BYTES_EACH = 128 * 1024  # what a connection may hold at the most: a body, what is read ahead, its objects
+BASE_MB = 20  # what the program holds without clients
+REQUEST_S = 2.0  # from a connection's or a request's first moment to its last byte; usual clients take 3 ms
+SWEEP_S = 0.1
 LINGER_S = 1.0  # after a refused message the client has this long to read why
+MAX_LINGER = 1024 * 1024  # and may send on so much, which is read and dropped
 REASONS = {
-    200: b"OK", 204: b"No Content", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-    409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
-    501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    200: b"OK", 204: b"No Content", 502: b"Bad Gateway", 503: b"Service Unavailable",
 }
 HEALTH, CALLBACK = b"/_health", b"/callback"
-MALFORMED = (h11.RemoteProtocolError, MessageError)
+
+
+class State(Enum):
+    """What a connection is doing."""
+
+    READING = "reading"  # new, or in the midst of a request: its time is limited
+    CALLING = "calling"  # a call waits for its answer
+    RESTING = "resting"  # kept between requests
+    LEAVING = "leaving"  # the last answer is out; what still comes is dropped
 
 
 class Acceptor:
@@ -42,18 +57,38 @@
     ) -> None:
         self.config, self.counters, self.exchange, self.serving = config, counters, exchange, serving
         self.closing = False  # every connection closes after its answer
-        self.classes = {name: number for number, name in enumerate(config.class_names)}
+        self.classes = {name.encode(): number for number, name in enumerate(config.class_names)}
         self.connections: dict[Connection, None] = {}
-        self.most_connections = config.sockets * 6 // 10
+        # By state, the longest there first.
+        self.among: dict[State, dict[Connection, None]] = {state: {} for state in State}
+        self.most_connections = min(
+            config.sockets - config.sockets * 3 // 10 - RESERVE,
+            (config.memory_mb - BASE_MB) * 1024 * 1024 // BYTES_EACH)
         self.in_hand: set[str] = set()  # ids of the calls in hand
         self.tasks = Tasks()
         self.server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        """Open the listener."""
+        """Open the listener.
+
+        asyncio takes as many connections in one turn as its backlog says, so the system's is set apart.
+        Guards against a crowd that takes all descriptors before any of it is counted: asyncio accepts nothing
+        for a second then, and call-backs wait with the others.
+        """
         host, port = self.config.listen
-        self.server = await asyncio.start_server(
-            self._accept, host, port, backlog=BACKLOG, limit=READ_SIZE)
+        infos = await asyncio.get_running_loop().getaddrinfo(host, port, type=socket.SOCK_STREAM)
+        family, kind, protocol, _, address = infos[0]
+        listener = socket.socket(family, kind, protocol)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            self.server = await asyncio.start_server(
+                self._accept, sock=listener, backlog=TAKEN, limit=READ_SIZE)
+            listener.listen(WAITING)
+        except OSError:
+            listener.close()
+            raise
+        self.tasks.start(self._sweep(), "limiting the time of requests")
 
     @property
     def port(self) -> int:
@@ -64,23 +99,22 @@
     def begin_closing(self) -> None:
         """Close the connections on which nothing is under way, and the others after their answers."""
         self.closing = True
-        for connection in list(self.connections):
-            if connection.idle:
-                connection.close()
+        for connection in list(self.among[State.RESTING]):
+            connection.writer.close()  # after what is written
 
     async def stop(self) -> None:
         """Close the listener and all connections, answers being written out first."""
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.writer.close()
         try:
             async with asyncio.timeout(LINGER_S):
                 while self.connections:
                     await asyncio.sleep(0.01)
         except TimeoutError:  # clients that do not read must not keep the program from its end
             for connection in list(self.connections):
-                connection.writer.transport.abort()
+                connection.abort()
         await self.tasks.stop()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -99,16 +133,34 @@
             log.exception("a client's connection failed")
             self.counters.add("connections_broken")
         finally:
-            del self.connections[connection]
             connection.lost()
             writer.transport.abort()
 
     def _make_room(self) -> bool:
-        """Close the connection that has been idle for longest."""
-        idle = [connection for connection in self.connections if connection.idle]
-        if idle:
-            min(idle, key=lambda connection: connection.last_used).close()
-        return bool(idle)
+        """Close the connection that is worth least: one that ends anyway, has brought nothing yet, or rests.
+
+        Guards against crowds that connect and say nothing, or ask once and stay: those with calls stay last.
+        """
+        for state in (State.LEAVING, State.READING, State.RESTING):
+            for connection in self.among[state]:
+                if state is State.RESTING and connection.writer.transport.get_write_buffer_size():
+                    continue  # its answer is still on its way
+                self.counters.add(f"evicted_{state.value}")
+                connection.abort()
+                connection.forget()
+                return True
+        return False
+
+    async def _sweep(self) -> None:
+        """End what takes too long: requests that do not become whole, and last answers that are not read."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            for state, limit_s in ((State.READING, REQUEST_S), (State.LEAVING, LINGER_S)):
+                for connection in list(self.among[state]):
+                    if now - connection.since < limit_s:
+                        break
+                    connection.out_of_time()
 
 
 class Connection:
@@ -124,56 +176,78 @@
         self.size = 0
         self.call: Call | None = None
         self.ahead = 0
-        self.closing = False
-        self.last_used = time.monotonic()
+        self.answered = asyncio.Event()
+        self.heard = False  # something has come
+        self.state = State.READING
+        self.since = time.monotonic()
+        acceptor.among[self.state][self] = None
 
     @property
-    def idle(self) -> bool:
-        """True between requests."""
-        return self.request is None and not self.closing
-
-    def close(self) -> None:
-        """Close once what is written has gone out."""
-        self.closing = True
-        self.writer.close()
+    def leaving(self) -> bool:
+        """True once the last answer is out."""
+        return self.state is State.LEAVING
+
+    def _enter(self, state: State) -> None:
+        """Go over into another state; what leaves stays so."""
+        if not self.leaving:
+            del self.acceptor.among[self.state][self]
+            self.state, self.since = state, time.monotonic()
+            self.acceptor.among[state][self] = None
+
+    def forget(self) -> None:
+        """Count no more among the connections."""
+        self.acceptor.among[self.state].pop(self, None)
+        self.acceptor.connections.pop(self, None)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.writer.transport.abort()
 
     def lost(self) -> None:
         """The connection has ended: a call still in hand loses its client."""
+        self.forget()
         if self.call is not None:
             self.acceptor.in_hand.discard(self.call.id)
             self.acceptor.exchange.client_gone(self.call)
             self.call = None
 
+    def out_of_time(self) -> None:
+        """The request took too long, or the last answer is not read."""
+        if self.state is State.READING and self.heard:
+            self._reject(408, "the request was not whole in time")
+        else:
+            self.abort()
+
     async def run(self) -> None:
         """Read until the connection ends, while a call waits too: that is how a client's leaving shows."""
-        while not self.closing:
+        while not self.leaving:
             await self.writer.drain()
             data = await self.reader.read(READ_SIZE)
-            if not data and self.call is not None:
-                return
+            if self.leaving or (not data and self.call is not None):
+                break
+            self.heard = self.heard or bool(data)
             self.http.receive_data(data)
-            if self.call is not None:
+            if self.call is None:
+                self._advance()
+            else:
                 self.ahead += len(data)
                 if self.ahead > MAX_AHEAD:
-                    return
-            self._advance()
-        await self._linger()
-
-    async def _linger(self) -> None:
-        """Let the last answer arrive: closed with bytes unread, a socket takes its answer back."""
-        try:
-            if self.writer.can_write_eof() and not self.writer.is_closing():
-                self.writer.write_eof()
-            async with asyncio.timeout(LINGER_S):
-                while await self.reader.read(READ_SIZE):
-                    pass
-        except TimeoutError:
-            pass
+                    await self.answered.wait()
+        if self.leaving:  # closed with bytes unread, a socket would take its answer back
+            dropped = 0
+            while dropped < MAX_LINGER and (data := await self.reader.read(READ_SIZE)):
+                dropped += len(data)
+
+    def _leave(self) -> None:
+        """The last answer is written: end the writing half, so that the client sees it, and drop the rest."""
+        self._enter(State.LEAVING)
+        if self.writer.can_write_eof() and not self.writer.is_closing():
+            self.writer.write_eof()
 
     def _advance(self) -> None:
         """Take in what has been read, up to a call that has to wait for its answer."""
         try:
-            while self.call is None and not self.closing:
+            while self.call is None and not self.leaving:
                 event = self.http.next_event()
                 if isinstance(event, h11.Request):
                     self._begin(event)
@@ -182,11 +256,13 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self._finish()
                 elif isinstance(event, h11.ConnectionClosed):
-                    self.closing = True
+                    self._leave()
                 else:  # more bytes are needed
                     if self.http.they_are_waiting_for_100_continue:
                         self.writer.write(self.http.send(
                             h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                    if self.state is State.RESTING and (self.request or self.http.trailing_data[0]):
+                        self._enter(State.READING)
                     return
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
@@ -209,11 +285,18 @@
             self.body.append(memoryview(data))
 
     def _reject(self, status: int, why: str) -> None:
-        """Answer what cannot be taken in, and close."""
+        """Answer what cannot be taken in, and close: a client that sends such has nothing else to say."""
         self.acceptor.counters.add(f"rejected_{status}")
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._write(status, why.encode(), close=True)
-        self.closing = True
+        self._last(status, why.encode())
+
+    def _last(self, status: int, body: bytes) -> None:
+        """Write an answer after which the connection closes, past h11, which costs more than the rest."""
+        head = self.request is not None and self.request.method == b"HEAD"
+        self.writer.write(last_answer(status, body, head))
+        whole = self.http.their_state is h11.DONE and not self.http.trailing_data[0]
+        self._leave()
+        if whole:  # nothing is unread, so closing at once takes nothing back
+            self.writer.close()
 
     def _finish(self) -> None:
         """Act on a whole request."""
@@ -221,42 +304,42 @@
         assert request is not None
         body: Body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
         path = request.target.split(b"?", 1)[0]
+        job_class = self.acceptor.classes.get(class_name(path))
         try:
             if path == HEALTH:
-                if request.method in (b"GET", b"HEAD"):
-                    serving = self.acceptor.serving()
-                    self._write(200 if serving else 503, b"ok" if serving else b"draining")
+                if request.method not in (b"GET", b"HEAD"):
+                    self._reject(405, "only GET and HEAD")
+                elif self.acceptor.serving():
+                    self._last(200, b"ok")
                 else:
-                    self._write(405, b"", [(b"Allow", b"GET, HEAD")])
-            elif path != CALLBACK and class_name(path) not in self.acceptor.classes:
-                self._turn_away(404, "no such class or path")
+                    self._last(503, b"draining")
+            elif path != CALLBACK and job_class is None:
+                self._reject(404, "no such class or path")
             elif request.method != b"POST":
-                self._write(405, b"", [(b"Allow", b"POST")])
-            elif path == CALLBACK:
+                self._reject(405, "only POST")
+            elif job_class is None:
                 self.acceptor.exchange.call_back(callback(body, self.acceptor.config.report_fields))
                 self._write(204)
             else:
-                self._open(request, self.acceptor.classes[class_name(path)], body)
+                self._open(request, job_class, body)
         except MessageError as error:
-            self._turn_away(400, str(error))
-
-    def _turn_away(self, status: int, why: str) -> None:
-        self.acceptor.counters.add(f"rejected_{status}")
-        self._write(status, why.encode())
+            self._reject(400, str(error))
 
     def _open(self, request: h11.Request, job_class: int, body: Body) -> None:
         """Hand a call to the exchange."""
         told: Figures = figures(request.headers)
         if told.id in self.acceptor.in_hand:
-            self._turn_away(409, "a call with this id is in hand")
+            self._reject(409, "a call with this id is in hand")
             return
         job = Job(request.target, body, dict(request.headers).get(b"content-type"))
         self.ahead = 0
+        self.answered.clear()
         self.call = self.acceptor.exchange.open(job_class, told, job, self._answer)
         if self.call is None:
             self._overload(self.acceptor.config.settings.max_retry_after_ns)
         else:
             self.acceptor.in_hand.add(told.id)
+            self._enter(State.CALLING)
 
     def _answer(self, answer: Answer) -> None:
         """Write the final answer of the call in hand."""
@@ -269,7 +352,8 @@
             self._overload(answer.retry_after_ns)
         else:
             self._write(502, b"failed")
-        if self.http.trailing_data[0]:
+        self.answered.set()
+        if self.state is State.RESTING and self.http.trailing_data[0]:
             self.acceptor.tasks.start(self._go_on(), "the next call of a connection")
 
     def _overload(self, wait_ns: int) -> None:
@@ -284,32 +368,27 @@
         with suppress(OSError):
             await self.writer.drain()
             self._advance()
-            if self.closing:  # nothing more will be read: `run` must not wait for it
-                self.writer.close()
 
     def _write(
-        self, status: int, body: bytes = b"", headers: list[tuple[bytes, bytes]] | None = None,
-        close: bool = False,
+        self, status: int, body: bytes = b"", headers: list[tuple[bytes, bytes]] | None = None
     ) -> None:
         """Write an answer; the connection closes after it where either side wants that."""
         headers = headers or []
         if status != 204:
             headers.append((b"Content-Length", b"%d" % len(body)))
-        if close or self.acceptor.closing:
+        if self.acceptor.closing:
             headers.append((b"Connection", b"close"))
         data = self.http.send(h11.Response(
-            status_code=status, headers=headers, reason=REASONS.get(status, b"Error"))) or b""
-        if body and self.request is not None and self.request.method == b"HEAD":
-            body = b""
+            status_code=status, headers=headers, reason=REASONS[status])) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
         self.writer.write(data)
         self.request, self.body = None, []
-        self.last_used = time.monotonic()
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
+            self._enter(State.RESTING)
         else:
-            self.closing = True
-            if self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            self._leave()
+            if not self.http.trailing_data[0]:
                 self.writer.close()  # after what is written
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -15,7 +15,8 @@
 
 MOVABLE = {"discovery"}  # what a reload takes from the file; the rest stays as it was at the start
 AT_START = {"seed", "known"}  # of use at a start only, so a reload need not name their changes
-LEAST_SOCKETS = 64  # below that there is no room for clients and workers side by side
+LEAST_SOCKETS = 128  # below that there is no room for clients and workers side by side
+LEAST_MEMORY_MB = 24  # the program alone holds about 14
 
 
 class ConfigError(Exception):
@@ -45,6 +46,7 @@
     connect_timeout_ns: int
     max_open: int
     sockets: int
+    memory_mb: int
     known: MemberList
 
 
@@ -83,9 +85,8 @@
     pairs = Pairs.from_nested(document.get("settings"))
     settings, meanings = decode_settings(pairs)
     limits = document.get("limits") or {}
-    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
-    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < LEAST_SOCKETS:
-        raise ValueError(f"limits.sockets is no whole number from {LEAST_SOCKETS} up: {sockets!r}")
+    if not isinstance(limits, dict):
+        raise ValueError("limits is no JSON object")
     known = document.get("known")
     return Config(
         name=_text("GW_NAME", environ.get("GW_NAME") or document.get("name")),
@@ -99,11 +100,19 @@
         report_fields=dict(zip(pairs.items("load_info.fields"), meanings, strict=True)),
         connect_timeout_ns=pairs.whole("caps.connect_timeout_ns", 250_000_000),
         max_open=pairs.whole("caps.max_open", 10_000),
-        sockets=sockets,
+        sockets=_limit(limits, "sockets", 1024, LEAST_SOCKETS),
+        memory_mb=_limit(limits, "memory_mb", 192, LEAST_MEMORY_MB),
         known=MemberList(0, True, ()) if known is None else member_list(known),
     )
 
 
+def _limit(limits: dict[str, Any], name: str, default: int, least: int) -> int:
+    value = limits.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int) or value < least:
+        raise ValueError(f"limits.{name} is no whole number from {least} up: {value!r}")
+    return value
+
+
 def _text(name: str, value: object) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{name} is not set")
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 import ujson
@@ -89,20 +90,26 @@
     members: tuple[Member, ...] = field(default=())
 
 
-def class_name(target: bytes) -> str:
+def class_name(path: bytes) -> bytes:
     """The class of a call: the first part of its path."""
-    return target.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
+    return path.removeprefix(b"/").split(b"/", 1)[0]
+
+
+def last_answer(status: int, body: bytes, head: bool = False) -> bytes:
+    """A whole answer after which the connection closes; the answer to HEAD goes without its body."""
+    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s" % (
+        status, HTTPStatus(status).phrase.encode(), len(body), b"" if head else body)
 
 
 def figures(headers: Headers) -> Figures:
     """The figures of a call from its headers (names in lower case, as h11 gives them)."""
     values = dict(headers)
     facts = _facts(values.get(b"x-facts", b""))
-    left_ms = _number("X-Time-Left-Ms", values.get(b"x-time-left-ms"), MAX_MS)
+    left_ms = _whole_ms(values.get(b"x-time-left-ms"))
     hint_us = _number("X-Weight-Hint", values.get(b"x-weight-hint"), MAX_MS * 1000)
     return Figures(
         call_id(values.get(b"x-correlation-id", b"")),
-        None if left_ms is None else int(left_ms * MS),
+        None if left_ms is None else left_ms * MS,
         slots=facts.get("slots", facts.get("width", 1.0)),
         memory=facts.get("memory", facts.get("ram_units", 0.0)),
         hint_ns=None if hint_us is None else int(hint_us * 1000),
@@ -121,6 +128,15 @@
     return text
 
 
+def _whole_ms(value: bytes | None) -> int | None:
+    """A deadline: digits alone, since float() would take 1e3 and 1_0 as well."""
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > len(str(MAX_MS)) or int(value) > MAX_MS:
+        raise MessageError(f"X-Time-Left-Ms is no whole number up to {MAX_MS}")
+    return int(value)
+
+
 def _number(name: str, value: bytes | None, most: float) -> float | None:
     """A figure from 0 to most, None where it is absent."""
     if value is None:
