Rest workers that fail job after job; refuse in a drain what cannot end in it

At fault: logic.py, _end_attempt, took ERROR as a sign of health; the end of a drain was told only when it came; workers.py, _replied, took 4xx for the worker's error. Ruled out: the lists (all ready), probes (all answered). Now two errors in a row rest the worker from 1 s on, doubling; one that failed its last job gets none that must not run twice; 4xx is REJECTED, no strike and no second try; Ending tells the time left.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -50,6 +50,43 @@
     assert not finals(drive.run(12 * SECOND))
 
 
+def test_a_rejected_job_fails_and_goes_nowhere_else() -> None:
+    """A worker could not use it, nor could another: a client told to repeat it would do so for ever."""
+    drive, send = started(Effect.SAFE)
+    actions = drive.end(send, Outcome.REJECTED)
+    assert finals(actions) == [api.Fail(7)] and not sends(actions)
+
+
+def test_a_worker_that_fails_job_after_job_rests() -> None:
+    """It reports free slots all the while, so it would draw ever more; it is tried with safe jobs first."""
+    classes = (job_class(), job_class(effect=Effect.UNSAFE))
+    drive = Drive(settings(classes=classes, max_attempts=2), workers=1)
+    for number in range(2):
+        drive.report(1, 4.0)
+        (send,) = sends(drive.step(api.Request(number, 0, 10 * SECOND)))
+        drive.end(send, Outcome.ERROR, over=True)
+        assert not sends(drive.step(api.Request(10 + number, 1, SECOND)) + drive.run(300 * MS))
+    drive.report(1, 4.0)
+    assert not sends(drive.step(api.Request(3, 0, 5 * SECOND)))
+    drive.run(700 * MS)
+    (send,) = sends(drive.report(1, 4.1) + drive.run(200 * MS))
+    assert send.request == 3
+    drive.end(send, Outcome.OK, over=True)
+    assert sends(drive.report(1, 4.0) + drive.step(api.Request(4, 1, SECOND)))
+
+
+def test_a_dispatcher_that_ends_takes_only_what_can_end_with_it() -> None:
+    """A long job is refused at once, for another dispatcher; what is out is answered by the end."""
+    drive, send = started(Effect.SAFE)
+    drive.step(api.Ending(3 * SECOND))
+    drive.report(2, 4.0)
+    long = drive.step(api.Request(8, 0, 10 * SECOND, hint_ns=5 * SECOND))
+    assert [type(action) for action in finals(long)] == [api.Refuse] and not sends(long)
+    assert sends(drive.step(api.Request(9, 0, 10 * SECOND, hint_ns=SECOND)))
+    answered = [action.request for action in finals(drive.run(3 * SECOND)) if isinstance(action, api.Refuse)]
+    assert sorted(answered) == [send.request, 9]
+
+
 @pytest.mark.parametrize("outcome", RISKY)
 def test_keyed_stays_in_its_cell_and_window(outcome: Outcome) -> None:
     """Repeats of a keyed job go to the workers that drop them, while they remember."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -88,6 +88,20 @@
     play(scenario())
 
 
+def test_a_job_that_a_worker_cannot_use_fails_without_another_try() -> None:
+    """It was sent to five workers, one after another; each had to read it and turn it away."""
+    async def unusable(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(write_message("HTTP/1.1 400 Bad Request"))
+
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            for worker in here.workers:
+                worker.script = unusable
+            assert (await here.post()).start.split()[1] == "502"
+            assert sum(worker.methods().count("POST") for worker in here.workers) == 1
+    play(scenario())
+
+
 def test_a_refused_connection_never_ran() -> None:
     """A job that must not run twice goes elsewhere where nothing listens."""
     async def scenario() -> None:
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -27,7 +27,7 @@
 
 
 class Outcome(Enum):
-    """How an attempt or a probe ended."""
+    """How an attempt or a probe ended; REJECTED: the worker cannot use this job, and no other could."""
 
     OK = "ok"
     ERROR = "error"
@@ -38,6 +38,7 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     UNKNOWN = "unknown"
+    REJECTED = "rejected"
 
     @property
     def never_ran(self) -> bool:
@@ -223,7 +224,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Ending:
-    """The dispatcher is about to end: what is still owed is answered now."""
+    """The dispatcher ends after left_ns: by then all that is owed is answered."""
+
+    left_ns: int
 
 
 Event = (
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -103,6 +103,7 @@
     live: dict[int, Attempt] = field(default_factory=dict)
     risky: Attempt | None = None
     stream: bool = False
+    rejected: bool = False  # a worker could not use it
     refusals: int = 0  # 'full' outcomes; from the second on it waits before it is drawn again
     wait_ns: int = 0
     looked_ns: int = 0  # when workers were last probed for it
@@ -143,6 +144,7 @@
     job_sign_ns: int = 0
     used_ns: int = 0  # when an attempt last ended there and left its connection idle; 0: none, or closed
     refusals: int = 0  # in a row
+    errors: int = 0  # since a job last ended well
     rest_ns: int = 0  # until then nothing more after a refusal
     probe_out: bool = False
     next_probe_ns: int = 0
@@ -218,7 +220,7 @@
         self.interval_ns = float(FIRST_INTERVAL_NS)  # how often workers refresh their reports, learnt from
         self.mean_gap_ns, self.mean_new = self.interval_ns, 1.0  # gaps between reports, share that is new
         self.ask_ns = 0 if settings.asks_list else -1  # when to subscribe; -1: nothing to do
-        self.ask_wait_ns = ASK_AGAIN_NS
+        self.ask_wait_ns, self.end_ns = ASK_AGAIN_NS, math.inf  # end_ns: when this dispatcher ends
 
     def step(self, now_ns: int, events: list[Event]) -> list[Action]:
         """Take in events that came at now_ns and return what to do about them."""
@@ -240,8 +242,10 @@
                 if event.data[:4] == IDLE_TAG and len(event.data) == 12:
                     self._limit_idle(int.from_bytes(event.data[4:], "little"))
             elif isinstance(event, Ending):
-                for job in list(self.jobs.values()):
-                    self._answer(job)
+                self.end_ns = now_ns + event.left_ns
+                self.due += [(self.end_ns, request) for request in self.jobs]
+                heapq.heapify(self.due)
+                self.out.append(SetTimer(event.left_ns, 2))
             elif isinstance(event, StreamBegun) and event.request in self.jobs:
                 self.jobs[event.request].stream = True
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
@@ -268,7 +272,7 @@
             restarted = entry.started_ns > worker.entry.started_ns
             worker.entry = entry
             if restarted:  # a new process: what was known and what it held is void
-                worker.free, worker.report = None, None
+                worker.free, worker.report, worker.errors = None, None, 0
                 worker.suspect, worker.strikes, worker.backoff_ns = False, 0, TRIAL_NS
                 worker.forget(self.now_ns + 1)
             if restarted or entry.state is WorkerState.GONE:
@@ -291,7 +295,7 @@
         job = Job(request, rules, self.turned_away.pop(_likeness(request), now), now + left)
         self.jobs[request.request] = self.held[request.request] = job
         # The answer is due a tick before the client's time runs out, whatever else happens.
-        left_ns = max(0, request.time_left_ns - self.settings.tick_ns)
+        left_ns = int(min(max(0, request.time_left_ns - self.settings.tick_ns), max(0, self.end_ns - now)))
         heapq.heappush(self.due, (self.now_ns + left_ns, request.request))
         self.out.append(SetTimer(left_ns, 2))
         price = self.settings.probe_price
@@ -303,8 +307,10 @@
         return float(job.request.hint_ns or self.run_ns[job.request.job_class])
 
     def _last_start_ns(self, job: Job) -> float:
-        """Started later than this, the job will hardly end in time (half the mean is about its median)."""
-        return job.born_ns + job.rules.aim_ns + max(0.0, job.rules.stretch - 1) * self._expected_ns(job) / 2
+        """Started later, the job will hardly end in time (half the mean is about its median), or here."""
+        expected_ns = self._expected_ns(job)
+        spare_ns = job.rules.aim_ns + max(0.0, job.rules.stretch - 1) * expected_ns / 2
+        return min(job.born_ns + spare_ns, self.end_ns - expected_ns)
 
     def _dearness(self, job: Job) -> float:
         """Worth per work, for the order of held jobs."""
@@ -326,7 +332,7 @@
 
         A refused client is told to come back when workers will have told anew what room they have.
         """
-        harmless = job.rules.effect is Effect.SAFE or (job.risky is None and not job.live)
+        harmless = not job.rejected and (job.rules.effect is Effect.SAFE or not (job.risky or job.live))
         self._close(job.request.request)
         self.turned_away[_likeness(job.request)] = job.born_ns
         if len(self.turned_away) > MOST_TURNED_AWAY:
@@ -348,7 +354,7 @@
 
     def _may_repeat(self, job: Job, attempt: Attempt) -> bool:
         """True where the job may be sent again though the attempt may have run."""
-        if job.attempts >= self.settings.max_attempts or job.stream:
+        if job.attempts >= self.settings.max_attempts or job.stream or job.rejected:
             return False
         if job.rules.effect is Effect.KEYED:
             first = job.risky or attempt
@@ -366,10 +372,10 @@
         worker.note_change(self.now_ns, -need.slots, -need.memory)
         if event.report is not None:
             self._hear(worker, event.report)
-        if event.outcome in (Outcome.OK, Outcome.ERROR):
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             worker.job_sign_ns = self.now_ns
             self._clear(worker)
-        lasting = event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL)
+        lasting = event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.REJECTED)
         worker.used_ns = self.now_ns if lasting else 0
         self.warm.pop(worker.entry.worker, None)
         if lasting:
@@ -387,13 +393,20 @@
             worker.rest_ns = self.now_ns + rest_ns
         if event.outcome is Outcome.CONNECT_FAILED:
             self._suspect(worker)
+        if event.outcome is Outcome.ERROR:
+            # Guards against workers that fail each job at once: with all slots free they draw ever more.
+            worker.errors += 1
+            if worker.errors > 1:  # one may be chance
+                worker.rest_ns = self.now_ns + min(TRIAL_MAX_NS, TRIAL_NS << min(worker.errors - 2, 8))
         if event.outcome is Outcome.OK:
+            worker.errors = 0
             self._learn(attempt, event.latency_ns)
         if event.over or event.outcome is Outcome.OK:
             self._close(event.request)
         elif event.request in self.jobs:
             if not event.outcome.never_ran and job.risky is None:
                 job.risky = attempt
+            job.rejected = event.outcome is Outcome.REJECTED
             if job.live:
                 return
             clean = event.outcome.never_ran and job.risky is None
@@ -435,8 +448,6 @@
         """Trust idle connections less: one has broken, here or at a peer.
 
         Guards against connections that are dropped unseen while idle: each job sent on one may be lost.
-        Older ones are closed before a push, at the price of a handshake.  It costs handshakes for a while
-        where a worker died just as it was pushed to.
         """
         if limit_ns < self._idle_limit():
             self.idle_limit_ns, self.idle_learnt_ns = limit_ns, self.now_ns
@@ -550,8 +561,8 @@
     def _suits(self, job: Job, worker: Worker) -> bool:
         """True where the worker is of the kind and group that the job needs, and warm enough for it."""
         entry, rules, risky = worker.entry, job.rules, job.risky
-        if rules.kind not in (-1, entry.kind):
-            return False
+        if rules.kind not in (-1, entry.kind) or (worker.errors and rules.effect is Effect.UNSAFE):
+            return False  # what failed last is tried with jobs that may run again
         if risky is not None and rules.effect is Effect.KEYED and (
                 (rules.group is Group.CELL and entry.cell != risky.cell)
                 or (rules.group is Group.ZONE and entry.zone != risky.zone)):
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -163,9 +163,9 @@
             figures.repeat))
         return call
 
-    def end(self) -> None:
-        """Have all that is still owed answered now: the program is about to end."""
-        self._tell(api.Ending())
+    def end(self, left_s: float) -> None:
+        """Have all that is owed answered within left_s: the program is about to end."""
+        self._tell(api.Ending(int(left_s * 1e9)))
 
     def client_gone(self, call: Call) -> None:
         """The client left before its answer."""
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -79,17 +79,15 @@
     async def finish(self) -> None:
         """Serve what still comes, until nothing is owed to a client or by a worker; then end."""
         longest_s = max(each.give_up_ns for each in self.config.settings.classes) / 1e9
-        last = asyncio.get_running_loop().time() + min(longest_s, LONGEST_S) + KILL_S - LAST_S
+        left_s = min(longest_s, LONGEST_S) + KILL_S - LAST_S
+        last = asyncio.get_running_loop().time() + left_s
         self._enter(Phase.DRAINING)
+        self.exchange.end(left_s)  # SIGKILL would leave what is owed then without any answer
         await asyncio.sleep(STAY_S)
         self._enter(Phase.CLOSING)
         self.acceptor.begin_closing()
         with suppress(TimeoutError):
-            async with asyncio.timeout_at(last):
-                await self._settled()
-        self.exchange.end()  # SIGKILL would leave the rest without any answer
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LAST_S / 2):
+            async with asyncio.timeout_at(last + LAST_S / 2):
                 await self._settled()
         self._enter(Phase.STOPPING)
         await self.tasks.stop()
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -242,8 +242,12 @@
         if reply.status == 202:
             return
         load = load_in(reply.headers.get(b"x-backend-load"), self.config.report_fields)
-        unseen = reply.status in (503, 504) and reply.headers.get(b"x-unprocessed") == b"1"
-        self.exchange.attempt_ended(attempt, api.Outcome.FULL if unseen else api.Outcome.ERROR, load)
+        outcome = api.Outcome.ERROR
+        if reply.status in (503, 504) and reply.headers.get(b"x-unprocessed") == b"1":
+            outcome = api.Outcome.FULL
+        elif 400 <= reply.status < 500:  # the job's fault: it tells nothing against the worker
+            outcome = api.Outcome.REJECTED
+        self.exchange.attempt_ended(attempt, outcome, load)
 
     async def _delete(self, worker: Worker, call: str) -> None:
         target, headers = f"/jobs/{call}".encode(), [(b"Host", worker.host.encode())]
