Leave out workers whose jobs run far beyond their hints, before they die

At fault: logic.py knew speeds by machine kind only, and _load believes the reported slots. Now a worker's slowness is the mean of its last jobs' overrun and of those that run, forgotten within seconds; from 2.5 times on it is left out unless most are.

--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -26,15 +26,15 @@
 
 from weldquay.interface import (
     Action, AttemptEnded, AttemptNote, Cancel, ClientGone, CloseIdle, Effect, Ending, Event, Fail, Group,
-    JobClass, ListKind, LoadReport, Membership, Outcome, PeerMessage, Probe, ProbeEnded, Refuse, Request,
-    Send, SetTimer, Settings, StreamBegun, Tell, Watch, WorkerEntry, WorkerState,
+    JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Refuse, Request, Send, SetTimer,
+    Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
 )
 
 SECOND_NS = 1_000_000_000
 MIN_ARRIVALS = 2.0  # floor of m (the design page); the formula divides by m - 1
 HELD_WAKE_NS = 100_000_000  # held jobs are tried again this often without news: well under a report interval
 LIVE_WAKE_NS = 250_000_000  # attempts out are judged this often: well under the patience for silence
-RATE_TIME_NS = 5 * SECOND_NS  # memory of arrival rates: long against a burst's rise, short against a day
+RATE_TIME_NS = 5 * SECOND_NS  # memory of arrival rates and slowness: long against a burst's rise
 FIRST_SLOTS = 2.0  # room of a worker that has not reported yet: enough to begin with, too little to jam it
 PROBE_SPEND = 0.02  # share of the result that probes may cost; their price and the traffic give the pace
 LOOK_MOST = 4  # probes for one look: the best of a few random ones is nearly as good as the best of all
@@ -46,6 +46,7 @@
 LAPSE_NS = 2 * SECOND_NS  # a report older than this no longer speaks for the worker
 SILENT_STEPS = 2.2  # progress notes missed in a row before a worker counts as standing still
 SILENT_FLOOR_NS = SECOND_NS  # the same where no notes are promised for shorter spans
+SLOW = math.log(2.5)  # a worker is left out where its jobs take so many times what its kind needs for them
 PROBE_STRIKES = 2  # probes failed in a row before they count: one may be lost or wait behind a job
 TRIAL_NS, TRIAL_MAX_NS = SECOND_NS, 8 * SECOND_NS  # a suspect worker is tried again after this, doubling
 ASK_AGAIN_NS = SECOND_NS  # first wait before a failed list call is made again, doubling
@@ -53,7 +54,6 @@
 KIND_SAMPLES = 10  # answers that a machine kind's speed starts from, so that chance does not rule at first
 QUICK_NS = 50_000_000  # an idle connection that breaks this soon after a push broke before the push
 IDLE_BACK_NS = 10 * SECOND_NS  # a learnt idle limit doubles after this long without a failure
-IDLE_TAG = b"idle"  # begins a message between dispatchers: then 8 bytes, the idle limit in nanoseconds
 ZONE_LEARN = 0.1  # weight of a new report in the mean load of its zone: some seconds of a quiet dispatcher
 FAR_LOAD = 1.0  # jobs that a near worker may hold more than a far one where crossing has a price
 MOST_TURNED_AWAY = 1000  # jobs remembered for their retries: some seconds of a heavy overload
@@ -144,6 +144,7 @@
     job_sign_ns: int = 0
     used_ns: int = 0  # when an attempt last ended there and left its connection idle; 0: none, or closed
     refusals: int = 0  # in a row
+    drag: tuple[float, int] = (0.0, 0)  # logarithm of how many times slower than its kind it was, and when
     errors: int = 0  # since a job last ended well
     rest_ns: int = 0  # until then nothing more after a refusal
     probe_out: bool = False
@@ -205,7 +206,6 @@
         self.ready: list[Worker] = []  # listed ready; those of the own zone among them
         self.near: list[Worker] = []
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
-        self.warm: dict[int, Worker] = {}  # with an idle connection, in the order of last use
         self.judged_ns = 0
         self.awake_ns = -1  # when the next look at time alone is due; -1: not asked for
         self.usual_load: dict[int, float] = {}  # by zone: mean of the loads told lately
@@ -238,9 +238,6 @@
                 self._follow(event)
             elif isinstance(event, ClientGone):
                 self._close(event.request)
-            elif isinstance(event, PeerMessage):
-                if event.data[:4] == IDLE_TAG and len(event.data) == 12:
-                    self._limit_idle(int.from_bytes(event.data[4:], "little"))
             elif isinstance(event, Ending):
                 self.end_ns = now_ns + event.left_ns
                 self.due += [(self.end_ns, request) for request in self.jobs]
@@ -377,11 +374,8 @@
             self._clear(worker)
         lasting = event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.REJECTED)
         worker.used_ns = self.now_ns if lasting else 0
-        self.warm.pop(worker.entry.worker, None)
-        if lasting:
-            self.warm[worker.entry.worker] = worker
         if event.outcome is Outcome.RESET and attempt.idle_ns and event.latency_ns < QUICK_NS:
-            self._limit_idle(attempt.idle_ns // 2, tell=True)
+            self._limit_idle(attempt.idle_ns // 2)
         if event.outcome is Outcome.FULL:
             # Guards against reports that promise room a worker does not give (old or frozen figures, a broken
             # release, many dispatchers at once): refused again before anything was served, it rests longer.
@@ -424,11 +418,24 @@
         number, kind = attempt.job.request.job_class, attempt.worker.entry.kind
         run_ns = max(1, self.now_ns - attempt.started_ns if attempt.started_ns else latency_ns)
         self.run_ns[number] += LEARN * (run_ns - self.run_ns[number])
+        if attempt.started_ns:
+            attempt.worker.drag = (self._drag(attempt.worker) + self._over(attempt)) / 2, self.now_ns
         mean, (slow, samples) = self.run_log[number], self.slowness.get(kind, (0.0, 0))
         error = math.log(run_ns) - slow - (math.log(run_ns) if mean is None else mean)
         self.run_log[number] = math.log(run_ns) - slow if mean is None else mean + LEARN * error
         self.slowness[kind] = slow + error * max(LEARN / 2, 1 / (samples + KIND_SAMPLES)), samples + 1
 
+    def _over(self, attempt: Attempt) -> float:
+        """Logarithm of how many times longer than usual on its kind of machine the attempt has run."""
+        slow = math.exp(self.slowness.get(attempt.worker.entry.kind, (0.0, 0))[0])
+        usual_ns = self._expected_ns(attempt.job) * slow
+        return math.log((self.now_ns - attempt.started_ns + COVER_NS) / (usual_ns + COVER_NS))
+
+    def _drag(self, worker: Worker) -> float:
+        """The worker's slowness as its last jobs showed it, and those that run show it already."""
+        last = worker.drag[0] * math.exp((worker.drag[1] - self.now_ns) / RATE_TIME_NS)
+        return max([last, *(self._over(attempt) for attempt in worker.live.values() if attempt.started_ns)])
+
     def _note(self, event: AttemptNote) -> None:
         attempt = self.attempts.get((event.request, event.attempt))
         if attempt is not None:
@@ -444,15 +451,13 @@
         back = (self.now_ns - self.idle_learnt_ns) // IDLE_BACK_NS
         return min(self.settings.conn_idle_ns, self.idle_limit_ns << min(back, 30))
 
-    def _limit_idle(self, limit_ns: int, tell: bool = False) -> None:
-        """Trust idle connections less: one has broken, here or at a peer.
+    def _limit_idle(self, limit_ns: int) -> None:
+        """Trust idle connections less: one has broken.
 
         Guards against connections that are dropped unseen while idle: each job sent on one may be lost.
         """
         if limit_ns < self._idle_limit():
             self.idle_limit_ns, self.idle_learnt_ns = limit_ns, self.now_ns
-            if tell and self.settings.may_tell:
-                self.out.append(Tell(IDLE_TAG + limit_ns.to_bytes(8, "little")))
 
     def _hear(self, worker: Worker, report: LoadReport) -> None:
         """Take in a report; how often repeats of it are new tells the interval at which it is refreshed.
@@ -573,7 +578,9 @@
         """The workers in health whose news has not lapsed: few at a dispatcher with little traffic."""
         while self.news and self.now_ns - next(iter(self.news.values())).report_ns > LAPSE_NS:
             del self.news[next(iter(self.news))]
-        return [worker for worker in self.news.values() if worker.free is not None and self._healthy(worker)]
+        told = [worker for worker in self.news.values() if worker.free is not None and self._healthy(worker)]
+        quick = [worker for worker in told if self._drag(worker) < SLOW]
+        return quick if 2 * len(quick) >= len(told) else told  # where all are slow, none is left out
 
     def _untold(self, job: Job) -> list[tuple[Worker, float]]:
         """The workers without news that may have room, going by the mean of their zone."""
@@ -605,12 +612,6 @@
         if job.rules.kind != -1 or job.risky is not None:
             pool = [worker for worker in self.ready if self._suits(job, worker)]
         some = self.random.sample(pool, min(len(pool), 3 * count))
-        if self.settings.handshake_price > 0:  # half of them where a connection is open, last used first
-            while self.warm and now - next(iter(self.warm.values())).used_ns >= self._idle_limit():
-                del self.warm[next(iter(self.warm))]
-            known = [worker for worker in reversed(self.warm.values())
-                     if pool is not self.near or worker.entry.zone == self.settings.zone]
-            some = list(dict.fromkeys(known[:count // 2] + some))
         asked = [worker for worker in some
                  if now - worker.report_ns > self.interval_ns
                  and now >= max(worker.next_probe_ns, worker.rest_ns, worker.suspect * worker.trial_ns)
