Give up a job that may run again where nothing answers it for 0.6 s

Ruled out: standing workers (others' jobs on them went on). At fault: workers.py, _attempt waited for the answer as long as the call lived.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,7 @@
 
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Scripted, document, job, site
-from weldquay.net import acceptor, program, registry
+from weldquay.net import acceptor, program, registry, workers
 from weldquay.net.workers import MOST_IDLE, Connection, Worker
 
 Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
@@ -194,6 +194,33 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("begun", [False, True])
+def test_a_connection_that_falls_silent_holds_no_job_that_may_run_again(
+        begun: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It waited for its deadline; now it goes elsewhere, unless the worker has told that it runs."""
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            first: list[Scripted] = []
+
+            async def silent(message: Message, writer: asyncio.StreamWriter) -> None:
+                worker = next(each for each in here.workers if message in each.seen)
+                first.append(worker)
+                for each in here.workers:
+                    each.script = None
+                call = message.headers["x-correlation-id"]
+                if begun:
+                    await worker.tell(call, state="started")
+                    await until(lambda: here.program.counters.counts["answers_missing"])
+                    await worker.tell(call, state="done", result="late")
+                await asyncio.sleep(3600)
+            for worker in here.workers:
+                worker.script = silent
+            assert (await here.post()).body == (b"late" if begun else b"TEXT")
+            await first[0].until(*(["POST"] if begun else ["POST", "DELETE"]))
+    monkeypatch.setattr(workers, "ACCEPT_S", 0.2)
+    play(scenario())
+
+
 def test_a_stall_past_a_deadline_leaves_the_answer_to_the_decisions() -> None:
     """Both timers come due in one turn of the loop: the last resort must not pass before the step."""
     async def scenario() -> None:
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -76,6 +76,7 @@
     sent_ns: int
     deadline_ns: int
     timer: asyncio.TimerHandle | None = None
+    begun: bool = False  # its worker has told that it runs
     ended: bool = False
 
 
@@ -206,6 +207,7 @@
             return
         self.counters.add("callbacks")
         if told.outcome is None:
+            attempt.begun = True
             self._tell(api.AttemptNote(attempt.call.number, attempt.number, attempt.worker, told.progress))
         else:
             self.attempt_ended(attempt, told.outcome, told.load, told.result)
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -24,6 +24,7 @@
 MAX_HEAD = 16 * 1024
 PROBE_TIMEOUT_S = 1.0  # a worker that stands still must not keep its probe for ever
 GIVE_UP_TIMEOUT_S = 2.0
+ACCEPT_S = 0.6  # a job is taken or turned away within 50 ms, 250 where its worker pauses; connecting counts
 LATE_ANSWER_S = 2.0  # after a call-back ended its attempt, the 202 may still take this long
 IDLE_PART = 0.8  # a connection idle for this part of its limit is not used again
 MOST_IDLE = 2  # idle connections kept to a worker, the last used
@@ -222,8 +223,9 @@
         assert isinstance(job, Job)
         left_ns = attempt.deadline_ns - time.monotonic_ns()
         headers = job_headers(attempt.call.id, job, left_ns, worker.host)
+        wait_s = ACCEPT_S if attempt.call.safe else left_ns / 1e9 + LATE_ANSWER_S
         try:
-            async with asyncio.timeout(left_ns / 1e9 + LATE_ANSWER_S):
+            async with asyncio.timeout(wait_s):
                 reply = await self._ask(worker, b"POST", job.target, headers, job.body, attempt.call)
         except NotWritten:
             self.exchange.attempt_ended(attempt, api.Outcome.CONNECT_FAILED)
@@ -234,6 +236,10 @@
                 self._tell_given_up(attempt)
         except TimeoutError:
             self.counters.add("answers_missing")
+            # Guards against connections that fall silent: what may run again must not wait for its deadline.
+            if attempt.call.safe and not attempt.begun and not attempt.ended:
+                self.exchange.attempt_ended(attempt, api.Outcome.RESET)
+                self._tell_given_up(attempt)
         else:
             self._replied(attempt, reply)
 
