--- a/tests/site.py
+++ b/tests/site.py
@@ -108,5 +108,5 @@
             await part.stop()
         for server in (listing, *fleet, *([discovery] if discovery else [])):
             server.stop()
-    assert not failures
+    assert not failures and not program.counters.counts["connections_broken"]
     assert not program.counters.counts["steps_failed"] and not program.counters.counts["calls_overdue"]
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -146,8 +146,7 @@
                 if state is State.RESTING and connection.writer.transport.get_write_buffer_size():
                     continue  # its answer is still on its way
                 self.counters.add(f"evicted_{state.value}")
-                connection.abort()
-                connection.forget()
+                connection.evict()
                 return True
         return False
 
@@ -199,6 +198,12 @@
         self.acceptor.among[self.state].pop(self, None)
         self.acceptor.connections.pop(self, None)
 
+    def evict(self) -> None:
+        """Close at once and make room; what it may still bring is not taken in."""
+        self.forget()
+        self.state = State.LEAVING
+        self.abort()
+
     def abort(self) -> None:
         """Close at once."""
         self.writer.transport.abort()
