--- a/tests/site.py
+++ b/tests/site.py
@@ -66,6 +66,24 @@
         """One call, to its answer."""
         return await request(self.address, job(call, path, left_ms))
 
+    async def operate(self, call: str, method: str = "POST") -> int:
+        """The status of an operator's call."""
+        address = f"127.0.0.1:{self.program.operators.port}"
+        answer = await request(address, write_message(f"{method} /control/{call} HTTP/1.1"))
+        return int(answer.start.split()[1])
+
+    async def health(self) -> int:
+        """The status of /_health."""
+        answer = await request(self.address, write_message("GET /_health HTTP/1.1"))
+        return int(answer.start.split()[1])
+
+
+async def until(look: Callable[[], Any]) -> Any:
+    """Wait until a look finds something, and return it."""
+    while not (found := look()):
+        await asyncio.sleep(0.01)
+    return found
+
 
 def job(call: str = "c1", path: str = "/lookup/a?b=1", left_ms: int = 5000) -> bytes:
     """The bytes of a call."""
@@ -87,7 +105,7 @@
     listing = Discovery()
     told = document(**settings)
     await (discovery or listing).start()
-    told.update(listen="127.0.0.1:0", discovery=(discovery or listing).address)
+    told.update(listen="127.0.0.1:0", mgmt="127.0.0.1:0", discovery=(discovery or listing).address)
     fleet = [Scripted(f"w{number}", "") for number in range(workers)]
     for worker in fleet:
         await worker.start()
@@ -104,7 +122,7 @@
         async with asyncio.timeout(PATIENCE_S):
             yield here
     finally:
-        for part in (program.tasks, program.registry, program.acceptor, program.workers):
+        for part in (program.tasks, program.operators, program.registry, program.acceptor, program.workers):
             await part.stop()
         for server in (listing, *fleet, *([discovery] if discovery else [])):
             server.stop()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,7 +16,7 @@
 import pytest
 
 from example.toy import Discovery, Message, Server, read_message, request, write_message
-from tests.site import ACCEPTED, Scripted, document, job, site
+from tests.site import ACCEPTED, Scripted, document, job, site, until
 from weldquay.net import acceptor, program, registry, workers
 from weldquay.net.workers import MOST_IDLE, Connection, Worker
 
@@ -28,13 +28,6 @@
     asyncio.run(scenario)
 
 
-async def until(look: Callable[[], Any]) -> Any:
-    """Wait until a look finds something, and return it."""
-    while not (found := look()):
-        await asyncio.sleep(0.01)
-    return found
-
-
 async def hang_up(message: Message, writer: asyncio.StreamWriter) -> None:
     """A script: the connection breaks before the 202."""
     writer.transport.abort()
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -57,6 +58,7 @@
     ) -> None:
         self.config, self.counters, self.exchange, self.serving = config, counters, exchange, serving
         self.closing = False  # every connection closes after its answer
+        self.refusing = False  # calls are refused
         self.classes = {name.encode(): number for number, name in enumerate(config.class_names)}
         self.connections: dict[Connection, None] = {}
         # By state, the longest there first.
@@ -100,7 +102,12 @@
         """Close the connections on which nothing is under way, and the others after their answers."""
         self.closing = True
         for connection in list(self.among[State.RESTING]):
-            connection.writer.close()  # after what is written
+            if not connection.unread():  # what has come is answered, and that closes
+                connection.writer.close()  # after what is written
+
+    def reopen(self) -> None:
+        """Take and keep clients again."""
+        self.closing = self.refusing = False
 
     async def stop(self) -> None:
         """Close the listener and all connections, answers being written out first."""
@@ -208,6 +215,12 @@
         """Close at once."""
         self.writer.transport.abort()
 
+    def unread(self) -> bool:
+        """True where something has come that was not taken in."""
+        poll = select.poll()
+        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def lost(self) -> None:
         """The connection has ended: a call still in hand loses its client."""
         self.forget()
@@ -333,6 +346,10 @@
     def _open(self, request: h11.Request, job_class: int, body: Body) -> None:
         """Hand a call to the exchange."""
         told: Figures = figures(request.headers)
+        if self.acceptor.refusing:
+            self.acceptor.counters.add("calls_out_of_service")
+            self._overload(self.acceptor.config.settings.max_retry_after_ns)
+            return
         if told.id in self.acceptor.in_hand:
             self._reject(409, "a call with this id is in hand")
             return
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -37,6 +37,7 @@
     name: str
     listen: Address
     discovery: Address
+    mgmt: Address | None  # where operators call
     seed: int
     settings: api.Settings
     class_names: tuple[str, ...]
@@ -87,11 +88,12 @@
     limits = document.get("limits") or {}
     if not isinstance(limits, dict):
         raise ValueError("limits is no JSON object")
-    known = document.get("known")
+    known, mgmt = document.get("known"), environ.get("GW_MGMT") or document.get("mgmt")
     return Config(
         name=_text("GW_NAME", environ.get("GW_NAME") or document.get("name")),
         listen=address("GW_LISTEN", environ.get("GW_LISTEN") or document.get("listen")),
         discovery=address("GW_DISCOVERY", environ.get("GW_DISCOVERY") or document.get("discovery")),
+        mgmt=address("GW_MGMT", mgmt) if mgmt else None,
         seed=_seed(document.get("seed", "0")),
         # Discovery on sockets answers only when asked, whatever mode the deployment's simulator has.
         settings=replace(settings, asks_list=True),
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -126,6 +126,7 @@
         self.last_call = 0
         self.worker_numbers: dict[str, int] = {}
         self.worker_names: dict[int, str] = {}
+        self.listed = False  # a whole list has come that names workers
         self.zones = _numbers(config.zones)
         self.kinds = _numbers(config.kinds)
 
@@ -247,6 +248,7 @@
     def follow(self, told: MemberList, kind: api.ListKind) -> None:
         """Take in the list, or changes of it."""
         self.counters.add(f"lists_{kind.value}")
+        self.listed = self.listed or (kind is not api.ListKind.CACHED and bool(told.members))
         for member in told.members:
             if member.id not in self.worker_numbers:
                 number = len(self.worker_numbers) + 1
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import unquote
 
 import ujson
 
@@ -90,6 +91,33 @@
     members: tuple[Member, ...] = field(default=())
 
 
+_OPERATOR_CALLS = {
+    (b"GET", b"ready"): "ready", (b"POST", b"out-of-service"): "out-of-service",
+    (b"POST", b"in-service"): "in-service",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorCall:
+    """What an operator asks for; worker is empty where the call names none."""
+
+    verb: str
+    worker: str = ""
+
+
+def operator_call(method: bytes, target: bytes) -> OperatorCall:
+    """The call that a method and a target make; MessageError where there is none such."""
+    root, _, path = target.split(b"?", 1)[0].removeprefix(b"/").partition(b"/")
+    if root == b"control":
+        if (verb := _OPERATOR_CALLS.get((method, path))) is not None:
+            return OperatorCall(verb)
+        group, _, rest = path.partition(b"/")
+        worker, _, word = rest.rpartition(b"/")
+        if method == b"POST" and group == b"match-workers" and worker and word in (b"offline", b"online"):
+            return OperatorCall(word.decode(), unquote(worker.decode("latin-1")))
+    raise MessageError("there is no such call")
+
+
 def class_name(path: bytes) -> bytes:
     """The class of a call: the first part of its path."""
     return path.removeprefix(b"/").split(b"/", 1)[0]
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -16,6 +16,7 @@
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
+from weldquay.net.operators import Operators
 from weldquay.net.registry import Registry
 from weldquay.net.tasks import Tasks
 from weldquay.net.workers import Workers
@@ -28,6 +29,8 @@
 STAY_S = 2.0
 LONGEST_S, KILL_S = 3.0, 0.7  # SIGKILL comes after the longest deadline, but this at the most, and some more
 LAST_S = 0.25  # before it, what is still owed is answered: time to write that and to tell workers
+SEEN_S = 0.5  # the front asks for /_health ten times a second, and sends nobody new 0.2 s after a no
+EMPTY_S = 1.5  # out of service for so long, calls are refused: 4 s after the no none may be under 2 s old
 LOOK_S = 0.05
 MARK_S = 0.1  # how often the delay of the event loop is measured
 
@@ -38,6 +41,7 @@
     STARTING = "starting"
     SERVING = "serving"
     RELOADING = "reloading"  # takes in a new configuration, then goes on as before
+    OUT_OF_SERVICE = "out of service"  # emptied by its operators, until they want it back
     DRAINING = "draining"  # says that it wants no new clients, serves those that it has
     CLOSING = "closing"  # closes each connection after its answer
     STOPPING = "stopping"  # owes nothing any more
@@ -54,6 +58,7 @@
         self.drain_begun = asyncio.Event()
         self.reload_wanted = asyncio.Event()
         self.tasks = Tasks()
+        self.emptying: asyncio.Task[None] | None = None
         self.collection_begun = 0.0
 
     def _enter(self, phase: Phase) -> None:
@@ -71,16 +76,50 @@
         self.workers = Workers(self.config, self.counters, exchange)
         self.registry = Registry(self.config, exchange)
         self.acceptor = Acceptor(self.config, self.counters, exchange, self.serving)
+        self.operators = Operators(self.config.mgmt, self.counters, self)
+        await self.operators.listen()
         await self.acceptor.listen()
         exchange.start(self.workers, self.registry)
         self.tasks.start(self._reload(), "reloading of the configuration")
         self._enter(Phase.SERVING)
 
+    def ready(self) -> bool:
+        """True once calls can be served here: workers are known, and it is not about to end."""
+        return self.phase in (Phase.SERVING, Phase.OUT_OF_SERVICE) and self.exchange.listed
+
+    def out_of_service(self) -> bool:
+        """Empty the dispatcher, for its operators; False where it is about to end."""
+        if self.phase is Phase.SERVING:
+            self._enter(Phase.OUT_OF_SERVICE)
+            self.emptying = self.tasks.start(self._empty(), "emptying for the operators")
+        return self.phase is Phase.OUT_OF_SERVICE
+
+    def in_service(self) -> bool:
+        """Take clients again; False where it is about to end."""
+        if self.phase is Phase.OUT_OF_SERVICE:
+            self._stop_emptying()
+            self.acceptor.reopen()
+            self._enter(Phase.SERVING)
+        return self.phase is Phase.SERVING
+
+    async def _empty(self) -> None:
+        """Have clients leave: those that rest first, then all."""
+        await asyncio.sleep(SEEN_S)
+        self.acceptor.begin_closing()
+        await asyncio.sleep(EMPTY_S - SEEN_S)
+        self.acceptor.refusing = True
+
+    def _stop_emptying(self) -> None:
+        if self.emptying is not None:
+            self.emptying.cancel()
+            self.emptying = None
+
     async def finish(self) -> None:
         """Serve what still comes, until nothing is owed to a client or by a worker; then end."""
         longest_s = max(each.give_up_ns for each in self.config.settings.classes) / 1e9
         left_s = min(longest_s, LONGEST_S) + KILL_S - LAST_S
         last = asyncio.get_running_loop().time() + left_s
+        self._stop_emptying()
         self._enter(Phase.DRAINING)
         self.exchange.end(left_s)  # SIGKILL would leave what is owed then without any answer
         await asyncio.sleep(STAY_S)
@@ -92,6 +131,7 @@
         self._enter(Phase.STOPPING)
         await self.tasks.stop()
         await self.registry.stop()
+        await self.operators.stop()
         await self.acceptor.stop()
         await self.workers.stop()
         self._enter(Phase.STOPPED)
