Take settings in by SIGHUP: classes come and go, and a broken file changes nothing

At fault: config.reload took discovery alone and from any file that could be read; the module read attempts from its settings, not from the job. Ruled out: the drain, whose calls are all answered in time; the numbers of classes, which the file does not move.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,7 +6,6 @@
 import os
 import subprocess
 import sys
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -27,19 +26,67 @@
     assert config.settings.asks_list and config.settings.max_retry_after_ns == 2_000_000_000
 
 
-def test_a_reload_takes_the_address_of_discovery_alone(tmp_path: Path) -> None:
-    """The file comes before the variable then; what else has changed is named and stays."""
+def test_a_reload_takes_the_settings_and_the_address_of_discovery(tmp_path: Path) -> None:
+    """The file comes before the variable then; what else has changed is named and stays.
+
+    Classes keep their numbers: the dropped one its rules too, the new one comes last.
+    """
     path = tmp_path / "config.json"
     environ = {"GW_CONFIG": str(path), "GW_DISCOVERY": "127.0.0.1:1"}
     path.write_text(json.dumps(document()))
     running = load(environ)
-    path.write_text(json.dumps({
-        **document(), "discovery": "127.0.0.1:2", "name": "other", "seed": "7", "limits": {"sockets": 199}}))
+    told = {**document(caps={"max_attempts": 2}), "discovery": "127.0.0.1:2", "name": "other", "seed": "7",
+            "limits": {"sockets": 199, "memory_mb": 99, "cores": 1}}
+    told["settings"]["services"] = [
+        {**told["settings"]["services"][1], "name": "newer", "effect": "retryable"},
+        {**told["settings"]["services"][1], "give_up_ns": 7}]
+    path.write_text(json.dumps(told))
     moved, others = reload(environ, running)
-    assert moved == replace(running, discovery=Address("127.0.0.1", 2)) and others == ["name", "sockets"]
-    path.write_text("{")
+    assert moved.discovery == Address("127.0.0.1", 2) and moved.settings.max_attempts == 2
+    assert moved.class_names == ("lookup", "import", "newer") and moved.offered == {"import", "newer"}
+    assert [rules.give_up_ns // 10**9 for rules in moved.settings.classes] == [5, 0, 10]
+    assert (moved.name, moved.sockets) == (running.name, running.sockets)
+    assert others == ["name", "sockets", "memory_mb"]
+
+
+def change(path: str, value: Any) -> str:
+    """The example's configuration with one value changed, or its key left out."""
+    told = document()
+    told["discovery"] = "127.0.0.1:99"
+    *steps, last = path.split(".")
+    inner: Any = told
+    for step in steps:
+        inner = inner[int(step) if isinstance(inner, list) else step]
+    if value is None:
+        del inner[last]
+    else:
+        inner[last] = value
+    return json.dumps(told)
+
+
+BROKEN: list[tuple[str, Any]] = [
+    ("settings", None), ("limits", None), ("name", None), ("settings.services", []), ("settings.caps", None),
+    ("settings.services.0.effect", None), ("settings.services.1.worth", None),
+    ("settings.caps.max_attempts", None), ("settings.caps.max_attempts", 0),
+    ("settings.caps.max_attempts", -1), ("settings.caps.max_attempts", "5"),
+    ("settings.caps.max_attempts", True),
+    ("settings.services.0.give_up_ns", -5), ("settings.services.0.give_up_ns", 0),
+    ("settings.services.0.give_up_ns", "soon"), ("settings.services.0.aim_ns", 0),
+    ("settings.services.0.give_up_ns", float("nan")), ("settings.services.1.name", "lookup"),
+    ("settings.zones", ["elsewhere"]),
+]
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "null", json.dumps(document())[:-40], *(
+    change(path, value) for path, value in BROKEN)])
+def test_a_broken_file_changes_nothing(text: str, tmp_path: Path) -> None:
+    """Such a file may name a dead address of discovery as well: nothing of it is taken."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(document()))
+    running = load({"GW_CONFIG": str(path)})
+    path.write_text(text)
     with pytest.raises(ConfigError):
-        reload(environ, running)
+        reload({"GW_CONFIG": str(path)}, running)
 
 
 BAD: list[tuple[dict[str, Any], str]] = [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -469,6 +469,41 @@
     play(scenario())
 
 
+def test_settings_change_while_calls_are_open(tmp_path: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A class comes, one goes, effects change; a call in hand keeps the class that it came with."""
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            async def once(message: Message, writer: asyncio.StreamWriter) -> None:
+                for worker in here.workers:
+                    worker.script = None
+                writer.transport.abort()
+            for worker in here.workers:
+                worker.script = worker.accept
+            owed = [asyncio.create_task(here.post(f"c{number}", path)) for number, path in enumerate(
+                ("/lookup", "/import"))]
+            await until(lambda: len(here.program.exchange.at_worker) == 2)
+            told = {**document(), "discovery": here.discovery.address}
+            services = told["settings"]["services"]
+            services[0].update(effect="fragile")
+            services[1] = {**services[1], "name": "newer", "effect": "retryable"}
+            path.write_text(json.dumps(told))
+            here.program.reload_wanted.set()
+            await until(lambda: here.program.counters.counts["reloads"])
+            assert (await here.post("c9", "/import")).start.split()[1] == "404"
+            for (call, _), attempt in list(here.program.exchange.at_worker.items()):
+                worker = next(each for each in here.workers if each.name == attempt.worker_id)
+                worker.script = None
+                await worker.tell(call, state="lost")
+            assert [(await answer).start.split()[1] for answer in owed] == ["200", "502"]
+            for path_, status in (("/lookup", "502"), ("/newer", "200")):
+                for worker in here.workers:
+                    worker.script = once
+                assert (await here.post(f"d{path_[1:]}", path_)).start.split()[1] == status
+    path = tmp_path / "config.json"
+    monkeypatch.setenv("GW_CONFIG", str(path))
+    play(scenario())
+
+
 def test_a_signal_ends_the_program(tmp_path: Any) -> None:
     """The whole program as `run` starts it: SIGUSR1 prints the counters, SIGTERM ends it with status 0.
 
@@ -476,7 +511,8 @@
     """
     async def scenario() -> None:
         path = tmp_path / "config.json"
-        path.write_text(json.dumps({**document(), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}))
+        free = "127.0.0.1:0"
+        path.write_text(json.dumps({**document(), "listen": free, "mgmt": free, "discovery": "127.0.0.1:1"}))
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "weldquay", env={**os.environ, "GW_CONFIG": str(path)},
             stderr=asyncio.subprocess.PIPE)
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -229,9 +229,16 @@
     left_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Other settings, for the jobs that come from now on; numbers of classes stay, new ones come last."""
+
+    settings: Settings
+
+
 Event = (
     Membership | Request | AttemptEnded | ProbeEnded | AttemptNote | StreamBegun | ClientGone | TimerDue
-    | PeerMessage | Ending
+    | PeerMessage | Ending | Retuned
 )
 
 
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -1,7 +1,5 @@
-"""All decisions of a dispatcher.  Read weldquay/interface.py first: its settings, events and actions.
-
-The mechanism is OPT, Theorem 4 of "Optimal decentralized querying strategies for cooperative multi-agent
-systems".  Every attempt goes this way:
+"""All decisions of a dispatcher.  Read weldquay/interface.py first.  The mechanism is OPT, Theorem 4 of
+"Optimal decentralized querying strategies for cooperative multi-agent systems".  Every attempt goes this way:
 
 1. A Worker keeps what this dispatcher knows of one worker: its last report, what was pushed to it and what
    came back since, signs of life, its start.  Its load is pushes since the report minus free slots.
@@ -22,12 +20,14 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from weldquay.interface import (
     Action, AttemptEnded, AttemptNote, Cancel, ClientGone, CloseIdle, Effect, Ending, Event, Fail, Group,
-    JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Refuse, Request, Send, SetTimer,
-    Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
+    JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Refuse, Request, Retuned, Send,
+    SetTimer, Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
 )
 
 SECOND_NS = 1_000_000_000
@@ -98,7 +98,7 @@
     request: Request
     rules: JobClass
     born_ns: int
-    deadline_ns: int
+    most: int  # attempts
     attempts: int = 0
     live: dict[int, Attempt] = field(default_factory=dict)
     risky: Attempt | None = None
@@ -221,33 +221,36 @@
         self.mean_gap_ns, self.mean_new = self.interval_ns, 1.0  # gaps between reports, share that is new
         self.ask_ns = 0 if settings.asks_list else -1  # when to subscribe; -1: nothing to do
         self.ask_wait_ns, self.end_ns = ASK_AGAIN_NS, math.inf  # end_ns: when this dispatcher ends
+        self.takes: dict[type, Callable[[Any], object]] = {
+            Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
+            ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune,
+            ClientGone: lambda event: self._close(event.request), StreamBegun: self._begin_stream}
 
     def step(self, now_ns: int, events: list[Event]) -> list[Action]:
         """Take in events that came at now_ns and return what to do about them."""
         self.now_ns, self.out = now_ns, []
         for event in events:
-            if isinstance(event, Request):
-                self._take(event)
-            elif isinstance(event, AttemptEnded):
-                self._end_attempt(event)
-            elif isinstance(event, AttemptNote):
-                self._note(event)
-            elif isinstance(event, ProbeEnded):
-                self._end_probe(event)
-            elif isinstance(event, Membership):
-                self._follow(event)
-            elif isinstance(event, ClientGone):
-                self._close(event.request)
-            elif isinstance(event, Ending):
-                self.end_ns = now_ns + event.left_ns
-                self.due += [(self.end_ns, request) for request in self.jobs]
-                heapq.heapify(self.due)
-                self.out.append(SetTimer(event.left_ns, 2))
-            elif isinstance(event, StreamBegun) and event.request in self.jobs:
-                self.jobs[event.request].stream = True
+            if (take := self.takes.get(type(event))) is not None:
+                take(event)
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
         return self.out
 
+    def _end(self, event: Ending) -> None:
+        self.end_ns = self.now_ns + event.left_ns
+        self.due += [(self.end_ns, request) for request in self.jobs]
+        heapq.heapify(self.due)
+        self.out.append(SetTimer(event.left_ns, 2))
+
+    def _retune(self, event: Retuned) -> None:
+        """Take in other settings; jobs keep the rules that they came with."""
+        new, self.settings = event.settings.classes[len(self.run_ns):], event.settings
+        self.run_ns += [float(each.aim_ns) for each in new]
+        self.run_log += [None] * len(new)
+
+    def _begin_stream(self, event: StreamBegun) -> None:
+        if event.request in self.jobs:
+            self.jobs[event.request].stream = True
+
     # --- membership ---
 
     def _follow(self, event: Membership) -> None:
@@ -266,8 +269,7 @@
             if worker is None:
                 self.workers[entry.worker] = Worker(entry)
                 continue
-            restarted = entry.started_ns > worker.entry.started_ns
-            worker.entry = entry
+            restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
             if restarted:  # a new process: what was known and what it held is void
                 worker.free, worker.report, worker.errors = None, None, 0
                 worker.suspect, worker.strikes, worker.backoff_ns = False, 0, TRIAL_NS
@@ -286,10 +288,11 @@
 
     def _take(self, request: Request) -> None:
         rules = self.settings.classes[request.job_class]
-        now, left = self.now_ns, request.time_left_ns
+        now = self.now_ns
         # Less time left than others of its class have tells nothing: clients differ in patience.  A retry is
         # known by the figures of a job that was turned away here, and is as old as that one.
-        job = Job(request, rules, self.turned_away.pop(_likeness(request), now), now + left)
+        born_ns = self.turned_away.pop(_likeness(request), now)
+        job = Job(request, rules, born_ns, self.settings.max_attempts)
         self.jobs[request.request] = self.held[request.request] = job
         # The answer is due a tick before the client's time runs out, whatever else happens.
         left_ns = int(min(max(0, request.time_left_ns - self.settings.tick_ns), max(0, self.end_ns - now)))
@@ -351,7 +354,7 @@
 
     def _may_repeat(self, job: Job, attempt: Attempt) -> bool:
         """True where the job may be sent again though the attempt may have run."""
-        if job.attempts >= self.settings.max_attempts or job.stream or job.rejected:
+        if job.attempts >= job.most or job.stream or job.rejected:
             return False
         if job.rules.effect is Effect.KEYED:
             first = job.risky or attempt
@@ -404,7 +407,7 @@
             if job.live:
                 return
             clean = event.outcome.never_ran and job.risky is None
-            if (clean and job.attempts < self.settings.max_attempts) or self._may_repeat(job, attempt):
+            if (clean and job.attempts < job.most) or self._may_repeat(job, attempt):
                 self.held[event.request] = job
             else:
                 self._answer(job)
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -59,7 +59,7 @@
         self.config, self.counters, self.exchange, self.serving = config, counters, exchange, serving
         self.closing = False  # every connection closes after its answer
         self.refusing = False  # calls are refused
-        self.classes = {name.encode(): number for number, name in enumerate(config.class_names)}
+        self.retune(config)
         self.connections: dict[Connection, None] = {}
         # By state, the longest there first.
         self.among: dict[State, dict[Connection, None]] = {state: {} for state in State}
@@ -70,6 +70,12 @@
         self.tasks = Tasks()
         self.server: asyncio.Server | None = None
 
+    def retune(self, config: Config) -> None:
+        """Take in other settings."""
+        self.config = config
+        self.classes = {
+            name.encode(): number for number, name in enumerate(config.class_names) if name in config.offered}
+
     async def listen(self) -> None:
         """Open the listener.
 
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -13,7 +13,10 @@
 from weldquay.net.messages import MAX_PORT, MemberList, MessageError, member_list
 from weldquay.settings import Pairs, decode_settings
 
-MOVABLE = {"discovery"}  # what a reload takes from the file; the rest stays as it was at the start
+# What a reload takes from the file; the rest stays as it was at the start.
+MOVABLE = {
+    "discovery", "settings", "class_names", "offered", "report_fields", "connect_timeout_ns", "max_open",
+    "zones", "kinds", "document"}
 AT_START = {"seed", "known"}  # of use at a start only, so a reload need not name their changes
 LEAST_SOCKETS = 128  # below that there is no room for clients and workers side by side
 LEAST_MEMORY_MB = 24  # the program alone holds about 14
@@ -40,7 +43,8 @@
     mgmt: Address | None  # where operators call
     seed: int
     settings: api.Settings
-    class_names: tuple[str, ...]
+    class_names: tuple[str, ...]  # by number
+    offered: frozenset[str]  # the classes that calls may name: a reload may have dropped some
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     report_fields: dict[str, str]  # a load report's fields: what each name means
@@ -49,6 +53,7 @@
     sockets: int
     memory_mb: int
     known: MemberList
+    document: dict[str, Any]  # as it was read
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -76,15 +81,65 @@
     For what may move the file comes before the variables: they cannot change while the program runs.
     """
     fresh = load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+    _check_whole("", running.document, fresh.document)
+    for name in ("zones", "kinds"):
+        if getattr(fresh, name)[:len(getattr(running, name))] != getattr(running, name):
+            raise ConfigError(f"{name} may be added to, but not changed, while the dispatcher runs")
+    fresh = _number_classes(fresh, running)
     names = [each.name for each in fields(Config) if getattr(fresh, each.name) != getattr(running, each.name)]
     moved = replace(running, **{name: getattr(fresh, name) for name in MOVABLE})
     return moved, [name for name in names if name not in MOVABLE | AT_START]
 
 
+def _check_whole(path: str, running: object, fresh: object) -> None:
+    """Refuse a file that lacks a key that the running one has, or has another kind of value there.
+
+    In a list of objects each must have the keys that all have in the running file.
+    """
+    if isinstance(running, dict) and isinstance(fresh, dict):
+        for name, value in running.items():
+            if name not in AT_START and value is not None:
+                at = f"{path}.{name}" if path else name
+                if fresh.get(name) is None:
+                    raise ConfigError(f"missing key {at}")
+                _check_whole(at, value, fresh[name])
+    elif isinstance(running, list) and isinstance(fresh, list):
+        rows = [row for row in running if isinstance(row, dict)]
+        if rows and len(rows) == len(running):
+            common = {name: value for name, value in rows[0].items() if all(name in row for row in rows)}
+            for number, row in enumerate(fresh):
+                _check_whole(f"{path}.{number}", common, row)
+    elif _kind(running) is not _kind(fresh):
+        raise ConfigError(f"{path} is no longer a {_kind(running).__name__}: {fresh!r}")
+
+
+def _kind(value: object) -> type:
+    return float if isinstance(value, int) and not isinstance(value, bool) else type(value)
+
+
+def _number_classes(fresh: Config, running: Config) -> Config:
+    """The fresh configuration with its classes under the numbers that their names have in the running one.
+
+    A dropped class keeps its number and its rules, for the jobs that came with it.
+    """
+    rules = dict(zip(running.class_names, running.settings.classes, strict=True))
+    rules.update(zip(fresh.class_names, fresh.settings.classes, strict=True))  # new names come last
+    return replace(
+        fresh, class_names=tuple(rules), settings=replace(fresh.settings, classes=tuple(rules.values())))
+
+
 def read(environ: Mapping[str, str], document: dict[str, Any]) -> Config:
     """The configuration from its document; the variables come first."""
     pairs = Pairs.from_nested(document.get("settings"))
     settings, meanings = decode_settings(pairs)
+    class_names = tuple(pairs.text(f"services.{n}.name") for n in range(len(settings.classes)))
+    if len(set(class_names)) < len(class_names):
+        raise ValueError("two classes have the same name")
+    for name, rules in zip(class_names, settings.classes, strict=True):
+        if rules.give_up_ns <= 0 or rules.aim_ns <= 0:
+            raise ValueError(f"class {name} has a deadline that is no positive number")
+    if pairs.whole("caps.max_attempts", 1) < 1:
+        raise ValueError("caps.max_attempts is no positive number")
     limits = document.get("limits") or {}
     if not isinstance(limits, dict):
         raise ValueError("limits is no JSON object")
@@ -97,7 +152,7 @@
         seed=_seed(document.get("seed", "0")),
         # Discovery on sockets answers only when asked, whatever mode the deployment's simulator has.
         settings=replace(settings, asks_list=True),
-        class_names=tuple(pairs.text(f"services.{n}.name") for n in range(len(settings.classes))),
+        class_names=class_names, offered=frozenset(class_names),
         zones=tuple(pairs.items("zones")), kinds=tuple(pairs.items("shapes")),
         report_fields=dict(zip(pairs.items("load_info.fields"), meanings, strict=True)),
         connect_timeout_ns=pairs.whole("caps.connect_timeout_ns", 250_000_000),
@@ -105,6 +160,7 @@
         sockets=_limit(limits, "sockets", 1024, LEAST_SOCKETS),
         memory_mb=_limit(limits, "memory_mb", 192, LEAST_MEMORY_MB),
         known=MemberList(0, True, ()) if known is None else member_list(known),
+        document=document,
     )
 
 
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -59,6 +59,7 @@
     deadline_ns: int
     on_answer: Callable[[Answer], None]
     safe: bool  # to run again
+    most: int  # attempts
     open: bool = True
     sends: int = 0
     live: dict[int, Attempt] = field(default_factory=dict)
@@ -155,7 +156,9 @@
         if left_ns is None:
             left_ns = self.config.settings.classes[job_class].give_up_ns
         safe = self.config.settings.classes[job_class].effect is api.Effect.SAFE
-        call = Call(figures.id, self.last_call, payload, time.monotonic_ns() + left_ns, on_answer, safe)
+        call = Call(
+            figures.id, self.last_call, payload, time.monotonic_ns() + left_ns, on_answer, safe,
+            self.config.settings.max_attempts)
         # By way of call_soon: after a stall of the loop the step that answers in time comes first.
         call.overdue = self.loop.call_later(
             (left_ns + OVERDUE_NS) / 1e9, self.loop.call_soon, self._overdue, call)
@@ -165,6 +168,14 @@
             figures.repeat))
         return call
 
+    def retune(self, config: Config) -> None:
+        """Take in other settings; calls in hand keep those that they came with."""
+        self.config = config
+        for names, numbers in ((config.zones, self.zones), (config.kinds, self.kinds)):
+            for name in names:
+                numbers[name]  # a new one gets the next number
+        self._tell(api.Retuned(config.settings))
+
     def end(self, left_s: float) -> None:
         """Have all that is owed answered within left_s: the program is about to end."""
         self._tell(api.Ending(int(left_s * 1e9)))
@@ -324,7 +335,7 @@
         number = call.sends if call is not None else 0
         name = self.worker_names[action.worker]
         if (call is None or not call.open or now_ns >= call.deadline_ns
-                or number >= self.config.settings.max_attempts or (call.id, name) in self.at_worker):
+                or number >= call.most or (call.id, name) in self.at_worker):
             if call is not None:
                 call.sends += 1
             self.counters.add("attempts_moot")
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -183,6 +183,8 @@
             else:
                 self.counters.add("reloads")
                 self.registry.move(self.config)
+                for part in (self.exchange, self.acceptor, self.workers):
+                    part.retune(self.config)
                 if others:
                     log.warning("only a new start takes in what changed in: %s", ", ".join(others))
             self._enter(before)
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -143,15 +143,20 @@
     """The match workers; the exchange's WorkerSide."""
 
     def __init__(self, config: Config, counters: Counters, exchange: Exchange) -> None:
-        self.config, self.counters, self.exchange = config, counters, exchange
+        self.counters, self.exchange = counters, exchange
+        self.retune(config)
         self.known: dict[str, Worker] = {}
         self.tasks = Tasks()
         self.sending: dict[Attempt, asyncio.Task[None]] = {}
         self.open_connections = 0
         self.most_connections = config.sockets * 3 // 10
-        self.idle_limit_s = config.settings.conn_idle_ns / 1e9 * IDLE_PART
         self.tasks.start(self._sweep(), "closing of idle connections")
 
+    def retune(self, config: Config) -> None:
+        """Take in other settings."""
+        self.config = config
+        self.idle_limit_s = config.settings.conn_idle_ns / 1e9 * IDLE_PART
+
     @property
     def busy(self) -> bool:
         """True while workers are still to be told of something."""
