Take workers out and put them back when operators ask, whatever the list says

Checked: a worker put back gets work by its probe and the usual draw, so no rule of its own is needed for that.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import pytest
@@ -451,3 +452,60 @@
     drive.step(api.Membership(api.ListKind.CACHED, cold + warm))
     actions = drive.step(*[api.Request(n, 0, 10 * SECOND) for n in range(40)])
     assert len(sends(actions)) == 40 and all(send.worker > 20 for send in sends(actions))
+
+
+def test_a_banned_worker_gets_nothing_until_it_is_put_back() -> None:
+    """Neither jobs nor probes, whatever the list says; then it is probed at once, and counts as cold."""
+    drive = Drive(settings(cold_share=0.2, overload_for_ns=2 * SECOND), workers=1)
+    drive.report(1, 4.0)
+    drive.step(api.Banned(1))
+    drive.step(drive.list_of(api.ListKind.FULL), api.Request(1, 0, 5 * SECOND, hint_ns=100 * MS))
+    assert not sends(drive.run(SECOND)) and not any(isinstance(each, api.Probe) for each in drive.all)
+    assert api.Probe(1) in drive.step(api.Banned(1, False))
+    (send,) = sends(drive.report(1, 4.0))
+    assert send.worker == 1
+    drive.step(api.Request(2, 0, 5 * SECOND, hint_ns=60 * SECOND))
+    drive.report(1, 4.0)
+    assert not sends(drive.run(SECOND))  # more work than a cold worker may get
+    assert sends(drive.step(api.Request(3, 0, 5 * SECOND, hint_ns=100 * MS)) + drive.report(1, 4.0))
+
+
+def test_a_ban_may_come_before_the_list_names_its_worker() -> None:
+    """As at the start of a process that an upgrade put in another's place."""
+    drive = Drive(workers=0)
+    drive.step(api.Banned(1))
+    drive.worker_ids = [1]
+    drive.step(drive.list_of(), api.Request(1, 0, 5 * SECOND))
+    drive.report(1, 4.0)
+    assert not sends(drive.all)
+
+
+def test_a_later_process_recalls_load_and_cold_starts() -> None:
+    """What was remembered holds as if its own: free slots taken since, work sent to a cold worker."""
+    drive = Drive(workers=2)
+    for worker in drive.worker_ids:
+        drive.report(worker, 4.0)
+    drive.step(api.Banned(2), api.Banned(2, False))
+    for number in range(3):
+        drive.step(api.Request(number, 0, 5 * SECOND, hint_ns=100 * MS))
+    later = Drive(workers=2)
+    later.now = drive.now
+    told = drive.dispatcher.remember()
+    told = {worker: json.loads(json.dumps(memory, default=list)) for worker, memory in told.items()}
+    later.step(*(api.Recalled(worker, memory) for worker, memory in told.items()), api.Recalled(9, told[1]))
+    assert later.dispatcher.remember() == drive.dispatcher.remember()
+    mine, theirs = (each.dispatcher.workers[1] for each in (later, drive))
+    assert later.dispatcher._load(mine) == drive.dispatcher._load(theirs)
+
+
+def test_jobs_keep_the_rules_they_came_with() -> None:
+    """Other settings bind the jobs that come after them."""
+    drive = Drive(settings(max_attempts=2), workers=2)
+    for worker in drive.worker_ids:
+        drive.report(worker, 4.0)
+    (old,) = sends(drive.step(api.Request(1, 0, 5 * SECOND)))
+    unsafe = job_class(effect=Effect.UNSAFE)
+    drive.step(api.Retuned(settings(classes=(unsafe, job_class()), max_attempts=1)))
+    (new,) = sends(drive.step(api.Request(2, 1, 5 * SECOND)))
+    assert finals(drive.end(new, Outcome.RESET))
+    assert [send.request for send in sends(drive.end(old, Outcome.RESET))] == [1]
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -158,3 +158,22 @@
         (b"Content-Length", b"3"), (b"Content-Type", b"text/plain")]
     assert messages.retry_after(1_250_000_000) == b"1.250"
     assert messages.watch_target(41) == b"/catalog/members?follow=1&since=41"
+
+
+@pytest.mark.parametrize(("method", "target", "expected"), [
+    (b"GET", b"/control/ready", ("ready", "")), (b"POST", b"/control/ready", None),
+    (b"POST", b"/control/out-of-service", ("out-of-service", "")),
+    (b"POST", b"/control/in-service?now", ("in-service", "")), (b"GET", b"/control/in-service", None),
+    (b"POST", b"/control/match-workers/s-1/offline", ("offline", "s-1")),
+    (b"POST", b"/control/match-workers/a%2Fb/online", ("online", "a/b")),
+    (b"GET", b"/control/match-workers/s-1/online", None), (b"POST", b"/control/match-workers//online", None),
+    (b"POST", b"/control/match-workers/s-1/away", None), (b"POST", b"/control/", None), (b"GET", b"/", None),
+    (b"POST", b"/other/in-service", None), (b"POST", b"/control/match-workers/offline", None),
+])
+def test_operators_calls(method: bytes, target: bytes, expected: tuple[str, str] | None) -> None:
+    """Each by its method and path; anything else is none."""
+    if expected is None:
+        with pytest.raises(MessageError):
+            messages.operator_call(method, target)
+    else:
+        assert messages.operator_call(method, target) == messages.OperatorCall(*expected)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,6 +9,8 @@
 from example.toy import read_message, request
 from tests.site import job, site, until
 from weldquay.net import operators, program
+from weldquay.net.bans import Bans
+from weldquay.net.workers import Connection, Worker
 
 
 def test_callers_that_complete_nothing_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -63,3 +65,59 @@
     monkeypatch.setattr(program, "EMPTY_S", 0.1)
     monkeypatch.setattr(program, "STAY_S", 0.2)
     asyncio.run(scenario())
+
+
+def test_a_worker_taken_out_gets_nothing_whatever_the_list_says() -> None:
+    """Any number of calls out end with one call back; ids that nobody has are told no."""
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            first, second = here.workers
+            for _ in range(2):
+                assert await here.operate("match-workers/w0/offline") == 200
+            assert await here.operate("match-workers/nobody/offline") == 404
+            for phase in ("DELETED", "SERVING"):
+                await here.discovery.change(first, phase)
+                await until(lambda: here.program.registry.revision == here.discovery.revision)
+                for number in range(4):
+                    assert (await here.post(f"{phase}{number}")).body == b"TEXT"
+            assert first.seen == [] and second.methods() == ["POST"] * 8
+            assert Bans("toy-dispatcher").read() == {"w0"}
+            second.script = second.accept
+            assert await here.operate("match-workers/w0/online") == 200
+            assert Bans("toy-dispatcher").read() == set()
+            await here.operate("match-workers/w1/offline")
+            assert (await here.post("back")).body == b"TEXT"
+            assert await here.operate("match-workers/nobody/online") == 404
+    asyncio.run(scenario())
+
+
+def test_a_job_whose_connection_comes_up_after_its_worker_was_taken_out_goes_elsewhere() -> None:
+    """It was decided before the call; its first byte would have come after the yes."""
+    async def scenario() -> None:
+        async with site(workers=2, caps={"probes": False}) as here:
+            workers, gate = here.program.workers, asyncio.Event()
+            connect = workers._connect
+
+            async def slow(worker: Worker) -> Connection:
+                if worker.member.id == "w0":
+                    await gate.wait()
+                return await connect(worker)
+            workers._connect = slow  # type: ignore[method-assign]
+            answers = [asyncio.create_task(here.post(f"c{number}", "/import")) for number in range(8)]
+            await until(lambda: any(name == "w0" for _, name in here.program.exchange.at_worker))
+            assert await here.operate("match-workers/w0/offline") == 200
+            gate.set()
+            assert {(await answer).start.split()[1] for answer in answers} == {"200"}
+            assert here.workers[0].methods() == []
+    asyncio.run(scenario())
+
+
+def test_bans_are_kept_in_a_file_and_a_bad_one_is_no_more_than_logged() -> None:
+    """The next process reads it; half a file, or another's, must not stop its start."""
+    bans = Bans("a/b")
+    assert bans.read() == set()
+    bans.write({"w1", "w0"})
+    assert bans.read() == {"w0", "w1"} and Bans("c").read() == set()
+    for text in ("", "{", "{}", "[1]"):
+        bans.path.write_text(text)
+        assert bans.read() == set()
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 
 class Effect(Enum):
@@ -236,9 +238,25 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Banned:
+    """Operators take a worker out, or (on False) put it back: it may have been restarted meanwhile."""
+
+    worker: int
+    on: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What an earlier process of this dispatcher remembered of a worker, as its `remember` gave it."""
+
+    worker: int
+    memory: Mapping[str, Any]
+
+
 Event = (
     Membership | Request | AttemptEnded | ProbeEnded | AttemptNote | StreamBegun | ClientGone | TimerDue
-    | PeerMessage | Ending | Retuned
+    | PeerMessage | Ending | Retuned | Banned | Recalled
 )
 
 
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -10,8 +10,7 @@
 5. A job that no worker may take is held, and placed, dearest work first, when room appears.
 
 Events change the view and the state of jobs (_end_attempt is the table of outcomes); then _tidy settles what
-time alone brings: deadlines, the judgement of health, and the placing of held jobs.  Nothing runs while
-nothing is held or out: with many dispatchers most are idle at most times.
+time alone brings: deadlines, the judgement of health, and the placing of held jobs.
 """
 
 from __future__ import annotations
@@ -25,9 +24,9 @@
 from typing import Any
 
 from weldquay.interface import (
-    Action, AttemptEnded, AttemptNote, Cancel, ClientGone, CloseIdle, Effect, Ending, Event, Fail, Group,
-    JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Refuse, Request, Retuned, Send,
-    SetTimer, Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
+    Action, AttemptEnded, AttemptNote, Banned, Cancel, ClientGone, CloseIdle, Effect, Ending, Event, Fail,
+    Group, JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Refuse, Request,
+    Recalled, Retuned, Send, SetTimer, Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
 )
 
 SECOND_NS = 1_000_000_000
@@ -57,6 +56,9 @@
 ZONE_LEARN = 0.1  # weight of a new report in the mean load of its zone: some seconds of a quiet dispatcher
 FAR_LOAD = 1.0  # jobs that a near worker may hold more than a far one where crossing has a price
 MOST_TURNED_AWAY = 1000  # jobs remembered for their retries: some seconds of a heavy overload
+# What a later process of the dispatcher is told of a worker.
+KEPT = ("free", "free_memory", "size", "report_ns", "changes", "changed", "changed_memory", "refusals",
+        "errors", "rest_ns", "suspect", "trial_ns", "backoff_ns", "back_ns", "pushed", "job_sign_ns")
 LEARN = 0.05  # weight of a new sample in learnt means
 
 
@@ -83,10 +85,7 @@
     return shares
 
 
-Likeness = tuple[int, int, int | None, float, float]
-
-
-def _likeness(request: Request) -> Likeness:
+def _likeness(request: Request) -> tuple[object, ...]:
     """What a client's retry has in common with its first try."""
     return request.job_class, request.key, request.hint_ns, request.slots, request.memory
 
@@ -119,8 +118,6 @@
     number: int
     worker: Worker
     sent_ns: int
-    cell: int
-    zone: int
     called_off: bool = False
     idle_ns: int = 0  # how long the connection it went out on had been idle; 0: a new or a busy one
     started_ns: int = 0  # when it told its start; 0: not told
@@ -153,8 +150,24 @@
     suspect: bool = False
     trial_ns: int = 0
     backoff_ns: int = TRIAL_NS
+    back_ns: int = 0  # when operators put it back: it may be as cold as one that started then
     pushed: deque[tuple[int, float]] = field(default_factory=deque)  # (time, work) while cold
 
+    @property
+    def started_ns(self) -> int:
+        """When it became cold for the last time, as far as is known; 0: long ago."""
+        return max(self.entry.started_ns, self.back_ns)
+
+    def renew(self, now_ns: int) -> None:
+        """A new process: what was known and what it held is void."""
+        self.free, self.report, self.errors, self.rest_ns, self.next_probe_ns = None, None, 0, 0, 0
+        self.forget(now_ns + 1)
+        self.clear()
+
+    def clear(self) -> None:
+        """It has shown that it lives."""
+        self.suspect, self.strikes, self.backoff_ns, self.refusals = False, 0, TRIAL_NS, 0
+
     def hear(self, now_ns: int, report: LoadReport, cover_ns: int) -> None:
         """Take in a report; own changes that it cannot have seen yet stay beside it."""
         free = report.free_slots
@@ -189,8 +202,7 @@
 class Dispatcher:
     """One dispatcher: feed it events by step, carry out the actions it returns.
 
-    A request of a class that the settings do not name raises IndexError; events about workers, requests or
-    attempts that it does not know are ignored.
+    A request of an unknown class raises IndexError; events about other unknown things are ignored.
     """
 
     def __init__(self, settings: Settings, seed: int) -> None:
@@ -205,6 +217,7 @@
         self.out: list[Action] = []
         self.ready: list[Worker] = []  # listed ready; those of the own zone among them
         self.near: list[Worker] = []
+        self.banned: set[int] = set()  # by operators
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
         self.judged_ns = 0
         self.awake_ns = -1  # when the next look at time alone is due; -1: not asked for
@@ -212,7 +225,7 @@
         self.usual_size = FIRST_SLOTS
         self.probes_left = 0.0  # probes that the traffic so far has paid for
         self.run_ns = [float(rules.aim_ns) for rules in settings.classes]  # mean running time, learnt
-        self.turned_away: dict[Likeness, int] = {}  # births of jobs answered without a result, oldest first
+        self.turned_away: dict[tuple[object, ...], int] = {}  # births of jobs without a result, oldest first
         self.run_log: list[float | None] = [None] * len(settings.classes)  # mean logarithm of the same
         self.slowness: dict[int, tuple[float, int]] = {}  # by machine kind: its part of that, samples
         self.idle_limit_ns, self.idle_learnt_ns = settings.conn_idle_ns, 0  # how long idle connections last
@@ -224,6 +237,7 @@
         self.takes: dict[type, Callable[[Any], object]] = {
             Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
             ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune,
+            Banned: self._ban, Recalled: self._recall,
             ClientGone: lambda event: self._close(event.request), StreamBegun: self._begin_stream}
 
     def step(self, now_ns: int, events: list[Event]) -> list[Action]:
@@ -247,6 +261,26 @@
         self.run_ns += [float(each.aim_ns) for each in new]
         self.run_log += [None] * len(new)
 
+    def _ban(self, event: Banned) -> None:
+        """Operators take a worker out, whatever the list says, or put it back: cold, and tried soon."""
+        worker = self.workers.get(event.worker)
+        (self.banned.add if event.on else self.banned.discard)(event.worker)
+        if worker is not None and not event.on:
+            worker.renew(self.now_ns)
+            worker.back_ns, worker.probe_out = self.now_ns, self.settings.may_probe
+            self.out += [Probe(event.worker)] * worker.probe_out
+        self._sort()
+
+    def remember(self) -> dict[int, dict[str, Any]]:
+        """What a later process of this dispatcher is to know of each worker; both read one clock."""
+        return {number: {name: getattr(worker, name) for name in KEPT}
+                for number, worker in self.workers.items()}
+
+    def _recall(self, event: Recalled) -> None:
+        if (worker := self.workers.get(event.worker)) is not None:
+            for name, value in event.memory.items():
+                setattr(worker, name, deque(map(tuple, value)) if isinstance(value, list) else value)
+
     def _begin_stream(self, event: StreamBegun) -> None:
         if event.request in self.jobs:
             self.jobs[event.request].stream = True
@@ -260,37 +294,32 @@
             self.out.append(SetTimer(self.ask_wait_ns, 3))
             self.ask_wait_ns = min(self.ask_wait_ns * 2, max(ASK_AGAIN_NS, self.settings.ask_within_ns // 3))
             return
-        if event.kind is not ListKind.CACHED:
-            self.ask_wait_ns = ASK_AGAIN_NS
-        named = set()
+        self.ask_wait_ns = ASK_AGAIN_NS
         for entry in event.entries:
-            named.add(entry.worker)
-            worker = self.workers.get(entry.worker)
-            if worker is None:
-                self.workers[entry.worker] = Worker(entry)
-                continue
+            worker = self.workers.setdefault(entry.worker, Worker(entry))
             restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
-            if restarted:  # a new process: what was known and what it held is void
-                worker.free, worker.report, worker.errors = None, None, 0
-                worker.suspect, worker.strikes, worker.backoff_ns = False, 0, TRIAL_NS
-                worker.forget(self.now_ns + 1)
+            if restarted:
+                worker.renew(self.now_ns)
             if restarted or entry.state is WorkerState.GONE:
                 self._rescue(worker)
         if event.kind in (ListKind.FULL, ListKind.CACHED):
+            named = {entry.worker for entry in event.entries}
             for worker in self.workers.values():
                 if worker.entry.worker not in named and worker.entry.state is not WorkerState.GONE:
                     worker.entry = replace(worker.entry, state=WorkerState.GONE)
                     self._rescue(worker)
-        self.ready = [worker for worker in self.workers.values() if worker.entry.state is WorkerState.READY]
+        self._sort()
+
+    def _sort(self) -> None:
+        self.ready = [worker for number, worker in self.workers.items()
+                      if worker.entry.state is WorkerState.READY and number not in self.banned]
         self.near = [worker for worker in self.ready if worker.entry.zone == self.settings.zone]
 
     # --- jobs ---
 
     def _take(self, request: Request) -> None:
-        rules = self.settings.classes[request.job_class]
-        now = self.now_ns
-        # Less time left than others of its class have tells nothing: clients differ in patience.  A retry is
-        # known by the figures of a job that was turned away here, and is as old as that one.
+        rules, now = self.settings.classes[request.job_class], self.now_ns
+        # A retry is known by the figures of a job that was turned away here, and is as old as that one.
         born_ns = self.turned_away.pop(_likeness(request), now)
         job = Job(request, rules, born_ns, self.settings.max_attempts)
         self.jobs[request.request] = self.held[request.request] = job
@@ -298,8 +327,7 @@
         left_ns = int(min(max(0, request.time_left_ns - self.settings.tick_ns), max(0, self.end_ns - now)))
         heapq.heappush(self.due, (self.now_ns + left_ns, request.request))
         self.out.append(SetTimer(left_ns, 2))
-        price = self.settings.probe_price
-        each = min(LOOK_MOST, PROBE_SPEND / price) if price > 0 else LOOK_MOST
+        each = min(LOOK_MOST, PROBE_SPEND / max(1e-9, self.settings.probe_price))
         self.probes_left = min(self.probes_left + each, 8.0 * LOOK_MOST)
 
     def _expected_ns(self, job: Job) -> float:
@@ -314,8 +342,7 @@
 
     def _dearness(self, job: Job) -> float:
         """Worth per work, for the order of held jobs."""
-        late = self.now_ns > self._last_start_ns(job)
-        worth = job.rules.worth * (job.rules.late_value if late else 1.0)
+        worth = job.rules.worth * (job.rules.late_value if self.now_ns > self._last_start_ns(job) else 1.0)
         return worth if self.settings.worth_by_work else worth / max(1.0, self._expected_ns(job))
 
     def _close(self, request: int) -> Job | None:
@@ -328,10 +355,7 @@
         return job
 
     def _answer(self, job: Job) -> None:
-        """Give the final answer: a refusal where trying again is proven harmless, else a failure.
-
-        A refused client is told to come back when workers will have told anew what room they have.
-        """
+        """Give the final answer: a refusal, till workers tell anew of their room, where that is harmless."""
         harmless = not job.rejected and (job.rules.effect is Effect.SAFE or not (job.risky or job.live))
         self._close(job.request.request)
         self.turned_away[_likeness(job.request)] = job.born_ns
@@ -348,8 +372,7 @@
     def _rescue(self, worker: Worker) -> None:
         """Take back what may be repeated from a worker that stands still; the outcome then redraws it."""
         for attempt in worker.live.values():
-            job = attempt.job
-            if job.request.request in self.jobs and self._may_repeat(job, attempt):
+            if attempt.job.request.request in self.jobs and self._may_repeat(attempt.job, attempt):
                 self._call_off(attempt)
 
     def _may_repeat(self, job: Job, attempt: Attempt) -> bool:
@@ -357,8 +380,8 @@
         if job.attempts >= job.most or job.stream or job.rejected:
             return False
         if job.rules.effect is Effect.KEYED:
-            first = job.risky or attempt
-            return self.now_ns < first.sent_ns + job.rules.window_ns * 9 // 10  # margin: the worker's clock
+            sent_ns = (job.risky or attempt).sent_ns
+            return self.now_ns < sent_ns + job.rules.window_ns * 9 // 10  # margin: the worker's clock
         return job.rules.effect is Effect.SAFE
 
     def _end_attempt(self, event: AttemptEnded) -> None:
@@ -374,14 +397,13 @@
             self._hear(worker, event.report)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             worker.job_sign_ns = self.now_ns
-            self._clear(worker)
+            worker.clear()
         lasting = event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.REJECTED)
         worker.used_ns = self.now_ns if lasting else 0
         if event.outcome is Outcome.RESET and attempt.idle_ns and event.latency_ns < QUICK_NS:
             self._limit_idle(attempt.idle_ns // 2)
         if event.outcome is Outcome.FULL:
-            # Guards against reports that promise room a worker does not give (old or frozen figures, a broken
-            # release, many dispatchers at once): refused again before anything was served, it rests longer.
+            # Guards against reports that promise room a worker does not give: refused again, it rests longer.
             self._feel(worker)
             worker.refusals += 1
             job.refusals += 1
@@ -415,8 +437,7 @@
     def _learn(self, attempt: Attempt, latency_ns: int) -> None:
         """Learn the running time of the class and the speed of the machine kind; waiting is left out if told.
 
-        Single workers are met too rarely for that, and running times differ too much; logarithms tame the few
-        huge jobs.
+        Running times differ too much to learn single workers' by them; logarithms tame the few huge jobs.
         """
         number, kind = attempt.job.request.job_class, attempt.worker.entry.kind
         run_ns = max(1, self.now_ns - attempt.started_ns if attempt.started_ns else latency_ns)
@@ -445,7 +466,7 @@
             if event.progress is None:
                 attempt.started_ns = self.now_ns
             attempt.worker.job_sign_ns = self.now_ns
-            self._clear(attempt.worker)
+            attempt.worker.clear()
 
     # --- health and reports ---
 
@@ -455,18 +476,12 @@
         return min(self.settings.conn_idle_ns, self.idle_limit_ns << min(back, 30))
 
     def _limit_idle(self, limit_ns: int) -> None:
-        """Trust idle connections less: one has broken.
-
-        Guards against connections that are dropped unseen while idle: each job sent on one may be lost.
-        """
+        """Guard against connections that are dropped unseen while idle: each job sent on one may be lost."""
         if limit_ns < self._idle_limit():
             self.idle_limit_ns, self.idle_learnt_ns = limit_ns, self.now_ns
 
     def _hear(self, worker: Worker, report: LoadReport) -> None:
-        """Take in a report; how often repeats of it are new tells the interval at which it is refreshed.
-
-        The same report again is no news: own pushes since it was new are still not in it.
-        """
+        """Take in a report, and learn how often they are new: pushes since the last new one are not in it."""
         gap_ns, new = self.now_ns - worker.report_ns, report != worker.report
         if worker.report is not None and gap_ns <= self.interval_ns:
             self.mean_gap_ns += LEARN * (gap_ns - self.mean_gap_ns)
@@ -508,30 +523,24 @@
     def _silent(self, worker: Worker) -> bool:
         """True where own attempts are out and neither note nor answer has come for too long."""
         waiting = [a.sent_ns for a in worker.live.values() if not a.called_off]
-        if not waiting or not self.settings.progress_ns:
-            return False
         patience = max(SILENT_FLOOR_NS, SILENT_STEPS * self.settings.progress_ns)
-        return self.now_ns - max(worker.job_sign_ns, min(waiting)) > patience
+        return bool(waiting and self.settings.progress_ns) and (
+            self.now_ns - max(worker.job_sign_ns, min(waiting)) > patience)
 
     def _suspect(self, worker: Worker) -> None:
         """The one judgement of health: no new jobs until a sign of life or a trial; rescue what may be."""
         if not worker.suspect or self.now_ns >= worker.trial_ns:
-            worker.suspect = True
-            worker.trial_ns = self.now_ns + worker.backoff_ns
+            worker.suspect, worker.trial_ns = True, self.now_ns + worker.backoff_ns
             worker.backoff_ns = min(TRIAL_MAX_NS, worker.backoff_ns * 2)
             self._rescue(worker)
 
-    def _clear(self, worker: Worker) -> None:
-        worker.suspect, worker.strikes, worker.backoff_ns = False, 0, TRIAL_NS
-        worker.refusals = 0
-
     # --- the mechanism ---
 
     def _cold_room(self, worker: Worker) -> float:
         """Work that may still go to a worker: without limit once warm, else this dispatcher's part."""
         rules = self.settings
-        age = self.now_ns - worker.entry.started_ns
-        if worker.entry.started_ns == 0 or age >= rules.warm_after_ns:
+        age = self.now_ns - worker.started_ns
+        if worker.started_ns == 0 or age >= rules.warm_after_ns:
             return math.inf
         while worker.pushed and worker.pushed[0][0] <= self.now_ns - rules.overload_for_ns:
             worker.pushed.popleft()
@@ -552,10 +561,7 @@
         return max(known, worker.changed - worker.free)
 
     def _feel(self, worker: Worker, load: float | None = None) -> None:
-        """What was met at a worker counts for its zone: a report's load, or (None) a sign of no room.
-
-        Such signs count only where looks can bring better news later.
-        """
+        """A worker's load counts for its zone; so does (None) a sign of no room where looks tell more."""
         if load is None and not (self.settings.may_probe and self.settings.reports_in_probes):
             return
         usual = self.usual_load.get(worker.entry.zone, -FIRST_SLOTS if load is None else load)
@@ -563,8 +569,9 @@
 
     def _healthy(self, worker: Worker) -> bool:
         """True where nothing tells against the worker; a suspect is tried by a probe, else by a job."""
-        return worker.entry.state is WorkerState.READY and self.now_ns >= worker.rest_ns and (
-            not worker.suspect or (not self.settings.may_probe and self.now_ns >= worker.trial_ns))
+        return worker.entry.state is WorkerState.READY and worker.entry.worker not in self.banned and (
+            self.now_ns >= worker.rest_ns and (not worker.suspect or (
+                not self.settings.may_probe and self.now_ns >= worker.trial_ns)))
 
     def _suits(self, job: Job, worker: Worker) -> bool:
         """True where the worker is of the kind and group that the job needs, and warm enough for it."""
@@ -572,8 +579,8 @@
         if rules.kind not in (-1, entry.kind) or (worker.errors and rules.effect is Effect.UNSAFE):
             return False  # what failed last is tried with jobs that may run again
         if risky is not None and rules.effect is Effect.KEYED and (
-                (rules.group is Group.CELL and entry.cell != risky.cell)
-                or (rules.group is Group.ZONE and entry.zone != risky.zone)):
+                (rules.group is Group.CELL and entry.cell != risky.worker.entry.cell)
+                or (rules.group is Group.ZONE and entry.zone != risky.worker.entry.zone)):
             return False
         return self._cold_room(worker) >= self._expected_ns(job)
 
@@ -598,8 +605,7 @@
     def _look(self, job: Job) -> bool:
         """Probe a few workers without fresh news for the job; True where it should wait.
 
-        Where crossing zones has a price the first look is at near workers, unless another zone is known to be
-        emptier by a job a worker; a second look follows at once at any.
+        Where crossing zones has a price the first look is at near workers, unless another zone is emptier.
         """
         now, zones = self.now_ns, self.usual_load
         if job.looks:
@@ -652,16 +658,13 @@
             return False
         m = max(MIN_ARRIVALS, m)
         rates = [math.exp(-self.slowness.get(worker.entry.kind, (0.0, 0))[0]) for worker, _ in choice]
-        mean = sum(rates) / len(rates)
-        rates = [rate / mean for rate in rates]
-        loads = []
+        loads, rates = [], [rate * len(rates) / sum(rates) for rate in rates]
         for (worker, load), rate in zip(choice, rates, strict=True):
             far = rules.cross_zone_price > 0 and worker.entry.zone != rules.zone
             held = load + round(worker.size if worker.size >= 0.5 else self.usual_size)
             loads.append(held + (FAR_LOAD * m * rate if far else 0.0))
         worker = self.random.choices([row[0] for row in choice], weights=water_fill(loads, m, rates))[0]
-        request = job.request
-        attempt = Attempt(job, job.attempts, worker, self.now_ns, worker.entry.cell, worker.entry.zone)
+        attempt = Attempt(job, job.attempts, worker, self.now_ns)
         if not worker.live and worker.used_ns:
             attempt.idle_ns = self.now_ns - worker.used_ns
             if attempt.idle_ns >= self._idle_limit():
@@ -669,14 +672,13 @@
                 attempt.idle_ns = 0
         job.attempts += 1
         job.live[attempt.number] = attempt
-        key = (request.request, attempt.number)
+        key = (job.request.request, attempt.number)
         self.attempts[key] = worker.live[key] = attempt
-        worker.note_change(self.now_ns, request.slots, request.memory)
-        if worker.entry.started_ns and self.now_ns - worker.entry.started_ns < self.settings.warm_after_ns:
+        worker.note_change(self.now_ns, slots, job.request.memory)
+        if worker.started_ns and self.now_ns - worker.started_ns < self.settings.warm_after_ns:
             worker.pushed.append((self.now_ns, self._expected_ns(job)))
-        self.push_rate = self._rate() + 1 / RATE_TIME_NS
-        self.push_rate_ns = self.now_ns
-        self.out.append(Send(request.request, worker.entry.worker))
+        self.push_rate, self.push_rate_ns = self._rate() + 1 / RATE_TIME_NS, self.now_ns
+        self.out.append(Send(key[0], worker.entry.worker))
         return True
 
     def _rate(self) -> float:
@@ -698,7 +700,9 @@
             self.awake_ns = -1
             if now - self.judged_ns >= LIVE_WAKE_NS:
                 self.judged_ns = now
-                self._judge()
+                for attempt in list(self.attempts.values()):  # what no event tells: workers that stand still
+                    if not attempt.worker.suspect and self._silent(attempt.worker):
+                        self._suspect(attempt.worker)
         if self.held and stirred:
             self._place_held()
         wake_ns = HELD_WAKE_NS if self.held else LIVE_WAKE_NS
@@ -706,12 +710,6 @@
             self.awake_ns = now + wake_ns
             self.out.append(SetTimer(wake_ns, 1))
 
-    def _judge(self) -> None:
-        """What no event tells: workers that stand still."""
-        for attempt in list(self.attempts.values()):
-            if not attempt.worker.suspect and self._silent(attempt.worker):
-                self._suspect(attempt.worker)
-
     def _place_held(self) -> None:
         """Place held jobs, dearest first, as far as there is room; give up those that can only be late."""
         told, now = self._told(), self.now_ns
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -93,6 +93,9 @@
     def give_up(self, attempt: Attempt) -> None:
         """Tell the worker that nobody waits for an attempt any more."""
 
+    def ban(self, worker_id: str, on: bool) -> None:
+        """Send no new job to a worker any more, or do so again."""
+
     def probe(self, worker_id: str) -> None:
         """Probe a worker; the result is told by `probe_ended`."""
 
@@ -127,6 +130,7 @@
         self.last_call = 0
         self.worker_numbers: dict[str, int] = {}
         self.worker_names: dict[int, str] = {}
+        self.bans: set[str] = set()  # workers that operators took out
         self.listed = False  # a whole list has come that names workers
         self.zones = _numbers(config.zones)
         self.kinds = _numbers(config.kinds)
@@ -261,12 +265,30 @@
         self.counters.add(f"lists_{kind.value}")
         self.listed = self.listed or (kind is not api.ListKind.CACHED and bool(told.members))
         for member in told.members:
-            if member.id not in self.worker_numbers:
-                number = len(self.worker_numbers) + 1
-                self.worker_numbers[member.id], self.worker_names[number] = number, member.id
+            self._number(member.id)
         self.workers.follow(told)
         self._tell(api.Membership(kind, tuple(self._entry(member) for member in told.members)))
 
+    def _number(self, worker_id: str) -> int:
+        """The number of a worker, a new one where it has none."""
+        if worker_id not in self.worker_numbers:
+            number = len(self.worker_numbers) + 1
+            self.worker_numbers[worker_id], self.worker_names[number] = number, worker_id
+        return self.worker_numbers[worker_id]
+
+    # --- operators ---
+
+    def knows(self, worker_id: str) -> bool:
+        """True where the list has ever named the worker, or a ban does."""
+        return worker_id in self.worker_numbers or worker_id in self.bans
+
+    def ban(self, worker_id: str, on: bool) -> None:
+        """Take a worker out, whatever the list says, or (on False) put it back."""
+        if on != (worker_id in self.bans):
+            (self.bans.add if on else self.bans.discard)(worker_id)
+            self.workers.ban(worker_id, on)
+            self._tell(api.Banned(self._number(worker_id), on))
+
     def list_failed(self) -> None:
         """A call to discovery failed, or the watch has ended."""
         self.counters.add("lists_failed")
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -33,6 +33,9 @@
     def in_service(self) -> bool:
         """Take clients again."""
 
+    def ban(self, worker_id: str, on: bool) -> bool:
+        """Take a match worker out, or (on False) put it back; False where nobody has that id."""
+
 
 class Operators:
     """The operators' listener."""
@@ -119,4 +122,6 @@
                 return self.control.out_of_service()
             case "in-service":
                 return self.control.in_service()
+            case "offline" | "online":
+                return self.control.ban(call.worker, call.verb == "offline")
         return False
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 from weldquay.net.acceptor import Acceptor
+from weldquay.net.bans import Bans
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
@@ -58,6 +59,7 @@
         self.drain_begun = asyncio.Event()
         self.reload_wanted = asyncio.Event()
         self.tasks = Tasks()
+        self.bans = Bans(config.name)
         self.emptying: asyncio.Task[None] | None = None
         self.collection_begun = 0.0
 
@@ -80,6 +82,8 @@
         await self.operators.listen()
         await self.acceptor.listen()
         exchange.start(self.workers, self.registry)
+        for worker_id in self.bans.read():
+            exchange.ban(worker_id, True)
         self.tasks.start(self._reload(), "reloading of the configuration")
         self._enter(Phase.SERVING)
 
@@ -102,6 +106,14 @@
             self._enter(Phase.SERVING)
         return self.phase is Phase.SERVING
 
+    def ban(self, worker_id: str, on: bool) -> bool:
+        """Take a match worker out, or put it back, however often it was taken out."""
+        if not self.exchange.knows(worker_id):
+            return False
+        self.exchange.ban(worker_id, on)
+        self.bans.write(self.exchange.bans)
+        return True
+
     async def _empty(self) -> None:
         """Have clients leave: those that rest first, then all."""
         await asyncio.sleep(SEEN_S)
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -130,6 +130,7 @@
     """A match worker as discovery last told of it, with its idle connections, last used last."""
 
     member: Member
+    banned: bool = False  # by operators
     idle: list[Connection] = field(default_factory=list)
     giving_up: dict[str, asyncio.Task[None]] = field(default_factory=dict)  # by the call's id
 
@@ -165,7 +166,7 @@
     def follow(self, told: MemberList) -> None:
         """Take in what discovery says; a worker that is gone or has moved keeps no connections."""
         for member in told.members:
-            worker = self.known.setdefault(member.id, Worker(member))
+            worker = self.known.setdefault(member.id, Worker(member, member.id in self.exchange.bans))
             moved = (member.host, member.port) != (worker.member.host, worker.member.port)
             worker.member = member
             if moved or member.state is api.WorkerState.GONE:
@@ -202,6 +203,12 @@
                 del worker.giving_up[call]
         task.add_done_callback(done)
 
+    def ban(self, worker_id: str, on: bool) -> None:
+        """Send no new job to a worker, not even one whose connection is coming up, or do so again."""
+        if (worker := self.known.get(worker_id)) is not None:
+            worker.banned = on
+            self.close_idle(worker_id)
+
     def probe(self, worker_id: str) -> None:
         """Probe a worker."""
         self.tasks.start(self._probe(self.known[worker_id]), f"probe of {worker_id}")
@@ -299,8 +306,8 @@
             connection = await self._connect(worker)
         reused = False
         try:
-            if new_work is not None and worker.member.state is not api.WorkerState.READY:
-                raise NotWritten  # told of its drain while the connection came up
+            if new_work is not None and (worker.banned or worker.member.state is not api.WorkerState.READY):
+                raise NotWritten  # told of its drain, or taken out, while the connection came up
             reply = await connection.ask(method, target, headers, body)
             reused = connection.rest()
             if reused:
