Take over from an older process: its listener, bans, clients' connections and what it knows

Ruled out as the cause of the remaining loss: the door, and call-backs (15 and 26 forwarded, none unmatched beyond).

--- a/tests/site.py
+++ b/tests/site.py
@@ -122,6 +122,7 @@
         async with asyncio.timeout(PATIENCE_S):
             yield here
     finally:
+        program.handover.stop()
         for part in (program.tasks, program.operators, program.registry, program.acceptor, program.workers):
             await part.stop()
         for server in (listing, *fleet, *([discovery] if discovery else [])):
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,182 @@
+"""An upgrade: a newer process takes the place of an older one, both in this process here."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from example.toy import read_message
+from tests.site import Site, job, site, until
+from weldquay.net import handover, program
+from weldquay.net.bans import place
+from weldquay.net.config import Address
+from weldquay.net.handover import Link, Message
+from weldquay.net.program import Phase, Program
+
+NAME = "toy-dispatcher"
+
+
+@asynccontextmanager
+async def newer(here: Site) -> AsyncIterator[Program]:
+    """A second process beside the site's, with the same addresses, another for operators."""
+    listen = Address("127.0.0.1", here.program.acceptor.port)
+    second = Program(replace(here.program.config, listen=listen))
+    await second.start()
+    try:
+        yield second
+    finally:
+        second.handover.stop()
+        for part in (second.tasks, second.operators, second.registry, second.acceptor, second.workers):
+            await part.stop()
+
+
+def test_a_newer_process_takes_over_and_nothing_ends_at_the_door() -> None:
+    """Kept connections go on, calls in hand end at the older one, call-backs find their way once."""
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            older, port = here.program, here.program.acceptor.port
+            worker = here.workers[1]
+            await here.operate("match-workers/w0/offline")
+            resting, rested = await asyncio.open_connection("127.0.0.1", port)
+            rested.write(job("c0"))
+            assert (await read_message(resting)).body == b"TEXT"
+            silent, mute = await asyncio.open_connection("127.0.0.1", port)
+            worker.script = worker.accept
+            calling, caller = await asyncio.open_connection("127.0.0.1", port)
+            caller.write(job("c1"))
+            await until(lambda: len(older.exchange.attempts) == 1)
+            async with newer(here) as second:
+                assert second.ready() and older.phase is Phase.HANDED_OVER
+                assert second.exchange.bans == {"w0"} and second.acceptor.elsewhere == {"c1"}
+                assert (await here.post("c1")).start.split()[1] == "409"
+                await until(lambda: second.counters.counts["client_connections"] >= 2)
+                worker.script = None
+                for number, (reader, writer) in enumerate(((resting, rested), (silent, mute))):
+                    writer.write(job(f"d{number}"))
+                    assert (await read_message(reader)).body == b"TEXT"
+                ending = asyncio.create_task(older.finish())
+                await worker.tell("c1", state="done", result="kept")
+                assert (await read_message(calling)).body == b"kept"
+                caller.write(job("d9"))
+                assert (await read_message(calling)).body == b"TEXT"
+                await ending
+                assert (older.counters.counts["calls"], second.counters.counts["calls"]) == (2, 3)
+                assert here.workers[0].methods() == [] and second.counters.counts["handover_worker"] == 2
+                await until(lambda: second.handover.link is None)
+                assert second.acceptor.most_connections == second.acceptor.full
+                assert not second.acceptor.elsewhere
+                for writer in (rested, mute, caller):
+                    writer.close()
+    asyncio.run(scenario())
+
+
+def test_what_waits_in_the_systems_queue_is_served_by_the_newer_process(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The listener itself is passed on: of two listeners the closing one resets what waits at it."""
+    async def scenario() -> None:
+        async with site() as here:
+            here.program.acceptor.stop_accepting()
+            port = here.program.acceptor.port
+            waiting = [await asyncio.open_connection("127.0.0.1", port) for _ in range(9)]
+            for number, (_, writer) in enumerate(waiting):
+                writer.write(job(f"c{number}"))
+            async with newer(here) as second:
+                await here.program.finish()
+                for reader, writer in waiting:
+                    assert (await read_message(reader)).body == b"TEXT"
+                    writer.close()
+                assert second.counters.counts["calls"] == 9
+    monkeypatch.setattr(program, "LIST_S", 0.2)
+    asyncio.run(scenario())
+
+
+def test_an_older_process_goes_on_if_the_newer_one_ends_midway() -> None:
+    """Before it is ready, and after: what it did not take comes back."""
+    async def scenario() -> None:
+        async with site() as here:
+            told: list[Message] = []
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            writer.write(job("c0"))
+            assert (await read_message(reader)).body == b"TEXT"
+            for kinds, last in ((["ask"], "offer"), (["ask", "ready"], "taken")):
+                sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+                sock.connect(str(place(NAME, ".sock")))
+                link = Link(sock, told.append, lambda unsent: None)
+                for kind in kinds:
+                    link.send(kind)
+                while last not in [each.kind for each in told]:
+                    await asyncio.sleep(0.01)
+                link.close()
+                await until(lambda: here.program.handover.link is None)
+                assert here.program.phase is Phase.SERVING
+                assert (await here.post(f"n{len(kinds)}")).body == b"TEXT"
+            for message in told:
+                if message.file >= 0:
+                    os.close(message.file)
+            writer.close()
+    asyncio.run(scenario())
+
+
+def test_out_of_service_is_passed_on() -> None:
+    """The drain that operators asked for holds until they end it."""
+    async def scenario() -> None:
+        async with site() as here:
+            await here.operate("out-of-service")
+            async with newer(here) as second:
+                assert second.ready() and await here.health() == 503
+                assert second.in_service() and await here.health() == 200
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("left", ["stale", "file", "silent", "nonsense"])
+def test_without_a_peer_that_answers_it_is_an_ordinary_start(
+        left: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a killed process left, or one that says nothing or nonsense, stops nobody."""
+    async def scenario() -> None:
+        door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        if left == "file":
+            place(NAME, ".sock").write_text("")
+        else:
+            door.bind(str(place(NAME, ".sock")))
+        if left in ("silent", "nonsense"):
+            door.listen(1)
+            door.setblocking(False)
+        if left == "nonsense":
+            loop = asyncio.get_running_loop()
+            loop.add_reader(door, lambda: door.accept()[0].send(b"nonsense"))
+        async with site() as here:
+            assert (await here.post()).body == b"TEXT"
+            async with newer(here) as second:
+                assert second.phase is Phase.SERVING and here.program.phase is Phase.HANDED_OVER
+        if left == "nonsense":
+            loop.remove_reader(door)
+        door.close()
+    monkeypatch.setattr(handover, "ASK_S", 0.2)
+    asyncio.run(scenario())
+
+
+def test_messages_with_descriptors_wait_for_their_reader() -> None:
+    """More than the system's buffer holds; all come, in order, and none is left open."""
+    async def scenario() -> None:
+        ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        got: list[Message] = []
+        files = len(os.listdir("/proc/self/fd"))
+        first = Link(ends[0], got.append, lambda unsent: None)
+        for number in range(200):
+            first.send("x", b"d" * 9000, os.dup(0), number=number)
+        assert first.waiting
+        second = Link(ends[1], got.append, lambda unsent: None)
+        await until(lambda: len(got) == 200)
+        assert [each.told["number"] for each in got] == list(range(200))
+        for each in got:
+            os.close(each.file)
+        assert len(os.listdir("/proc/self/fd")) == files
+        first.close()
+        second.close()
+    asyncio.run(scenario())
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
+import os
 import select
 import socket
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
+from functools import partial
 
 import h11
 
@@ -30,6 +32,7 @@
 TAKEN = 8  # connections accepted in one turn of the loop: the others' work goes on in between
 RESERVE = 40  # descriptors for what is neither a client nor a worker, and for connections just accepted
 BYTES_EACH = 128 * 1024  # what a connection may hold at the most: a body, what is read ahead, its objects
+LEAST_CONNECTIONS = 8  # whatever another process holds
 BASE_MB = 20  # what the program holds without clients
 REQUEST_S = 2.0  # from a connection's or a request's first moment to its last byte; usual clients take 3 ms
 SWEEP_S = 0.1
@@ -63,11 +66,17 @@
         self.connections: dict[Connection, None] = {}
         # By state, the longest there first.
         self.among: dict[State, dict[Connection, None]] = {state: {} for state in State}
-        self.most_connections = min(
+        self.most_connections = self.full = min(
             config.sockets - config.sockets * 3 // 10 - RESERVE,
             (config.memory_mb - BASE_MB) * 1024 * 1024 // BYTES_EACH)
         self.in_hand: set[str] = set()  # ids of the calls in hand
+        # Where a newer process takes over, connections between two requests go there, and call-backs that
+        # match nothing here; the ids of the older one's open calls are not to be had.
+        self.pass_on: Callable[[int, bytes, bool, float], None] | None = None
+        self.pass_back: Callable[[bytes], None] = lambda body: None
+        self.elsewhere: set[str] = set()
         self.tasks = Tasks()
+        self.listener: socket.socket | None = None
         self.server: asyncio.Server | None = None
 
     def retune(self, config: Config) -> None:
@@ -76,33 +85,71 @@
         self.classes = {
             name.encode(): number for number, name in enumerate(config.class_names) if name in config.offered}
 
-    async def listen(self) -> None:
-        """Open the listener.
+    async def listen(self, inherited: int = -1) -> None:
+        """Open the listener, or go on with that of an older process; `accept` begins to accept.
+
+        A newer process must be able to start beside one that does not answer, so the port is shared.
+        """
+        if inherited >= 0:
+            self.listener = socket.socket(fileno=inherited)
+        else:
+            host, port = self.config.listen
+            infos = await asyncio.get_running_loop().getaddrinfo(host, port, type=socket.SOCK_STREAM)
+            family, kind, protocol, _, address = infos[0]
+            self.listener = socket.socket(family, kind, protocol)
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.listener.bind(address)
+        self.tasks.start(self._sweep(), "limiting the time of requests")
+
+    async def accept(self) -> None:
+        """Begin to accept.
 
         asyncio takes as many connections in one turn as its backlog says, so the system's is set apart.
         Guards against a crowd that takes all descriptors before any of it is counted: asyncio accepts nothing
         for a second then, and call-backs wait with the others.
         """
-        host, port = self.config.listen
-        infos = await asyncio.get_running_loop().getaddrinfo(host, port, type=socket.SOCK_STREAM)
-        family, kind, protocol, _, address = infos[0]
-        listener = socket.socket(family, kind, protocol)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            self.server = await asyncio.start_server(
-                self._accept, sock=listener, backlog=TAKEN, limit=READ_SIZE)
-            listener.listen(WAITING)
-        except OSError:
-            listener.close()
-            raise
-        self.tasks.start(self._sweep(), "limiting the time of requests")
+        assert self.listener is not None
+        self.server = await asyncio.start_server(
+            self._accept, sock=self.listener.dup(), backlog=TAKEN, limit=READ_SIZE)
+        self.listener.listen(WAITING)
+
+    def stop_accepting(self) -> None:
+        """Leave what waits in the system's queue to another process, or to a later `accept`."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
 
     @property
     def port(self) -> int:
         """The port that the listener has."""
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
+        assert self.listener is not None
+        return int(self.listener.getsockname()[1])
+
+    def limit(self, others: int) -> None:
+        """Leave room for so many connections, which another process holds."""
+        self.most_connections = max(LEAST_CONNECTIONS, self.full - others)
+
+    def hand_over(self, pass_on: Callable[[int, bytes, bool, float], None]) -> None:
+        """Accept no more, and pass each connection on between two requests."""
+        self.stop_accepting()
+        self.pass_on = pass_on
+        for state in (State.RESTING, State.READING):
+            for connection in list(self.among[state]):
+                connection.begin_passing()
+
+    async def adopt(self, file: int, ahead: bytes, resting: bool, since: float) -> None:
+        """Go on with a connection that the other process passed on, and what it had read ahead."""
+        reader = asyncio.StreamReader(limit=READ_SIZE)
+        if ahead:
+            reader.feed_data(ahead)
+        sock = socket.socket(fileno=file)
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: asyncio.StreamReaderProtocol(
+                reader, partial(self._accept, resting=resting, since=since)), sock)
+        except OSError:  # the client has gone meanwhile
+            sock.close()
 
     def begin_closing(self) -> None:
         """Close the connections on which nothing is under way, and the others after their answers."""
@@ -117,8 +164,9 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections, answers being written out first."""
-        if self.server is not None:
-            self.server.close()
+        self.stop_accepting()
+        if self.listener is not None:
+            self.listener.close()
         for connection in list(self.connections):
             connection.writer.close()
         try:
@@ -130,12 +178,15 @@
                 connection.abort()
         await self.tasks.stop()
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, resting: bool = False,
+        since: float = 0.0,
+    ) -> None:
         if len(self.connections) >= self.most_connections and not self._make_room():
             self.counters.add("clients_over_limit")
             writer.transport.abort()
             return
-        connection = Connection(self, reader, writer)
+        connection = Connection(self, reader, writer, State.RESTING if resting else State.READING, since)
         self.connections[connection] = None
         self.counters.add("client_connections")
         try:
@@ -179,7 +230,8 @@
     """A connection that a client or a match worker opened; it carries one request at a time."""
 
     def __init__(
-        self, acceptor: Acceptor, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, acceptor: Acceptor, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, state: State,
+        since: float,
     ) -> None:
         self.acceptor, self.reader, self.writer = acceptor, reader, writer
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
@@ -190,8 +242,9 @@
         self.ahead = 0
         self.answered = asyncio.Event()
         self.heard = False  # something has come
-        self.state = State.READING
-        self.since = time.monotonic()
+        self.passing = False  # it goes to a newer process
+        self.state = state
+        self.since = since or time.monotonic()
         acceptor.among[self.state][self] = None
 
     @property
@@ -205,6 +258,28 @@
             del self.acceptor.among[self.state][self]
             self.state, self.since = state, time.monotonic()
             self.acceptor.among[state][self] = None
+            if state is State.RESTING and self.acceptor.pass_on is not None:
+                asyncio.get_running_loop().call_soon(self.begin_passing)
+
+    def begin_passing(self) -> None:
+        """Stop reading, if this is between two requests; what was read before goes along, by way of `run`."""
+        if not self.passing and (self.state is State.RESTING or (
+                self.state is State.READING and not self.heard)) and not self.writer.is_closing():
+            self.passing = True
+            self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            self.reader.feed_eof()  # ends the waiting of `run`
+
+    async def _pass_on(self, data: bytes) -> None:
+        """Give the connection to the newer process, once all is written; its end here closes nothing."""
+        ahead = self.http.trailing_data[0] + data
+        while data := await self.reader.read(READ_SIZE):
+            ahead += data
+        self.writer.transport.set_write_buffer_limits(high=0)
+        await self.writer.drain()
+        if self.acceptor.pass_on is not None and not self.writer.is_closing():
+            self.acceptor.counters.add("clients_passed_on")
+            file = os.dup(self.writer.get_extra_info("socket").fileno())
+            self.acceptor.pass_on(file, ahead, self.state is State.RESTING, self.since)
 
     def forget(self) -> None:
         """Count no more among the connections."""
@@ -247,6 +322,9 @@
         while not self.leaving:
             await self.writer.drain()
             data = await self.reader.read(READ_SIZE)
+            if self.passing:
+                await self._pass_on(data)
+                return
             if self.leaving or (not data and self.call is not None):
                 break
             self.heard = self.heard or bool(data)
@@ -271,7 +349,7 @@
     def _advance(self) -> None:
         """Take in what has been read, up to a call that has to wait for its answer."""
         try:
-            while self.call is None and not self.leaving:
+            while self.call is None and not self.leaving and not self.passing:
                 event = self.http.next_event()
                 if isinstance(event, h11.Request):
                     self._begin(event)
@@ -342,7 +420,8 @@
             elif request.method != b"POST":
                 self._reject(405, "only POST")
             elif job_class is None:
-                self.acceptor.exchange.call_back(callback(body, self.acceptor.config.report_fields))
+                if not self.acceptor.exchange.call_back(callback(body, self.acceptor.config.report_fields)):
+                    self.acceptor.pass_back(bytes(body))
                 self._write(204)
             else:
                 self._open(request, job_class, body)
@@ -356,7 +435,7 @@
             self.acceptor.counters.add("calls_out_of_service")
             self._overload(self.acceptor.config.settings.max_retry_after_ns)
             return
-        if told.id in self.acceptor.in_hand:
+        if told.id in self.acceptor.in_hand or told.id in self.acceptor.elsewhere:
             self._reject(409, "a call with this id is in hand")
             return
         job = Job(request.target, body, dict(request.headers).get(b"content-type"))
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -11,9 +11,9 @@
 import logging
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from weldquay import interface as api
 from weldquay.logic import Dispatcher
@@ -215,18 +215,19 @@
 
     # --- the workers' side ---
 
-    def call_back(self, told: CallBack) -> None:
-        """A worker tells of a job; what comes again or for an ended attempt changes nothing."""
+    def call_back(self, told: CallBack) -> bool:
+        """A worker tells of a job; what comes again or for an ended attempt changes nothing, and is False."""
         attempt = self.at_worker.get((told.id, told.worker))
         if attempt is None:
             self.counters.add("callbacks_unmatched")
-            return
+            return False
         self.counters.add("callbacks")
         if told.outcome is None:
             attempt.begun = True
             self._tell(api.AttemptNote(attempt.call.number, attempt.number, attempt.worker, told.progress))
         else:
             self.attempt_ended(attempt, told.outcome, told.load, told.result)
+        return True
 
     def attempt_ended(
         self, attempt: Attempt, outcome: api.Outcome, load: api.LoadReport | None = None, result: str = ""
@@ -289,6 +290,16 @@
             self.workers.ban(worker_id, on)
             self._tell(api.Banned(self._number(worker_id), on))
 
+    # --- an earlier and a later process of this dispatcher ---
+
+    def remember(self) -> dict[str, Any]:
+        """What the decisions know of each worker, by its id."""
+        return {self.worker_names[number]: told for number, told in self.dispatcher.remember().items()}
+
+    def recall(self, worker_id: str, told: Mapping[str, Any]) -> None:
+        """Take in what an earlier process knew of a worker."""
+        self._tell(api.Recalled(self._number(worker_id), told))
+
     def list_failed(self) -> None:
         """A call to discovery failed, or the watch has ended."""
         self.counters.add("lists_failed")
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -9,14 +9,19 @@
 import signal
 import sys
 import time
+from collections.abc import Iterable
 from contextlib import suppress
 from enum import Enum
+from functools import partial
+from typing import Any
 
 from weldquay.net.acceptor import Acceptor
 from weldquay.net.bans import Bans
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
+from weldquay.net.handover import IDS, Handover, Message
+from weldquay.net.messages import MessageError, callback
 from weldquay.net.operators import Operators
 from weldquay.net.registry import Registry
 from weldquay.net.tasks import Tasks
@@ -33,6 +38,10 @@
 SEEN_S = 0.5  # the front asks for /_health ten times a second, and sends nobody new 0.2 s after a no
 EMPTY_S = 1.5  # out of service for so long, calls are refused: 4 s after the no none may be under 2 s old
 LOOK_S = 0.05
+LIST_S = 3.5  # a newer process waits so long for its list: within 6 s it has to be ready
+NEWER_FILES = 24  # descriptors that a newer process needs before it has clients
+NEWER_PART = 1 / 3  # of the connections to workers, while it is not alone
+HELD_S = 0.2
 MARK_S = 0.1  # how often the delay of the event loop is measured
 
 
@@ -43,6 +52,7 @@
     SERVING = "serving"
     RELOADING = "reloading"  # takes in a new configuration, then goes on as before
     OUT_OF_SERVICE = "out of service"  # emptied by its operators, until they want it back
+    HANDED_OVER = "handed over"  # a newer process has the clients; calls in hand end here
     DRAINING = "draining"  # says that it wants no new clients, serves those that it has
     CLOSING = "closing"  # closes each connection after its answer
     STOPPING = "stopping"  # owes nothing any more
@@ -60,6 +70,8 @@
         self.reload_wanted = asyncio.Event()
         self.tasks = Tasks()
         self.bans = Bans(config.name)
+        self.before = Phase.STARTING  # the phase in which a newer process took over
+        self.begun = time.monotonic()
         self.emptying: asyncio.Task[None] | None = None
         self.collection_begun = 0.0
 
@@ -80,16 +92,111 @@
         self.acceptor = Acceptor(self.config, self.counters, exchange, self.serving)
         self.operators = Operators(self.config.mgmt, self.counters, self)
         await self.operators.listen()
-        await self.acceptor.listen()
+        self.handover = Handover(self.config.name, self.counters, self)
+        offered = await self.handover.ask()
+        await self.acceptor.listen(-1 if offered is None else offered.file)
+        self.acceptor.pass_back = partial(self.handover.send, "call-back")
         exchange.start(self.workers, self.registry)
         for worker_id in self.bans.read():
             exchange.ban(worker_id, True)
         self.tasks.start(self._reload(), "reloading of the configuration")
+        if offered is not None:
+            await self._take_over(offered)
+        await self.acceptor.accept()
         self._enter(Phase.SERVING)
+        if offered is not None and offered.told["out"]:
+            self.out_of_service()
+        self.handover.listen()
+
+    async def _take_over(self, offered: Message) -> None:
+        """Take an older process's place, once the list of workers has come, or has not for long."""
+        self.workers.limit(NEWER_PART)
+        for worker_id in offered.told["bans"]:
+            self.exchange.ban(worker_id, True)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LIST_S):
+                while not self.exchange.listed:
+                    await asyncio.sleep(LOOK_S)
+        await self.handover.finish()
+
+    # --- the other process of this dispatcher, while there is one ---
+
+    def offer(self) -> tuple[int, dict[str, Any]] | None:
+        """The listener, for a newer process, and room for its connections."""
+        if self.phase not in (Phase.SERVING, Phase.OUT_OF_SERVICE) or self.acceptor.listener is None:
+            return None
+        self.acceptor.limit(NEWER_FILES)
+        self.workers.limit(1 - NEWER_PART)
+        told = {"bans": sorted(self.exchange.bans), "out": self.phase is Phase.OUT_OF_SERVICE}
+        return os.dup(self.acceptor.listener.fileno()), told
+
+    def hand_over(self) -> None:
+        """Pass on what is known, and the clients' connections; what is in hand ends here."""
+        if self.phase not in (Phase.SERVING, Phase.OUT_OF_SERVICE):
+            return
+        self.before = self.phase
+        self._stop_emptying()
+        self._enter(Phase.HANDED_OVER)
+        for worker_id, told in self.exchange.remember().items():
+            self.handover.send("worker", id=worker_id, memory=told)
+        ids = list(self.acceptor.in_hand)
+        for at in range(0, len(ids), IDS):
+            self.handover.send("open", ids=ids[at:at + IDS])
+        self.acceptor.hand_over(self._pass_client)
+        self.tasks.start(self._tell_held(), "telling of the connections that are left")
+
+    def _pass_client(self, file: int, ahead: bytes, resting: bool, since: float) -> None:
+        self.handover.send("client", ahead, file, resting=resting, since=since)
+
+    async def _tell_held(self) -> None:
+        """Tell the newer process how many connections it has to leave room for."""
+        while self.phase is not Phase.SERVING:
+            self.handover.send("held", clients=len(self.acceptor.connections))
+            await asyncio.sleep(HELD_S)
+
+    def take(self, message: Message) -> None:
+        """Take in what the other process tells; what an unknown kind says is left out."""
+        match message.kind:
+            case "worker":
+                self.exchange.recall(message.told["id"], message.told["memory"])
+            case "open":
+                self.acceptor.elsewhere.update(message.told["ids"])
+            case "client":
+                self.tasks.start(self.acceptor.adopt(
+                    message.file, message.data, message.told["resting"], message.told["since"]), "adopting")
+            case "held":
+                self.acceptor.limit(NEWER_FILES + message.told["clients"])
+            case "ban":
+                self.exchange.ban(message.told["id"], message.told["on"])
+            case "call-back":
+                with suppress(MessageError):
+                    self.exchange.call_back(callback(message.data, self.config.report_fields))
+
+    def alone(self, unsent: Iterable[Message]) -> None:
+        """The other process has gone: all room is this one's; if it was to take over, this one goes on."""
+        self.acceptor.limit(0)
+        self.workers.limit(1)
+        self.acceptor.elsewhere.clear()
+        self.acceptor.pass_on = None
+        for message in unsent:
+            if message.kind == "client" and self.phase not in (Phase.STOPPING, Phase.STOPPED):
+                self.take(message)
+            elif message.file >= 0:
+                os.close(message.file)
+        if self.phase is Phase.DRAINING:
+            self.acceptor.begin_closing()
+        elif self.phase is Phase.HANDED_OVER:
+            self.tasks.start(self.acceptor.accept(), "accepting again")
+            self._enter(Phase.SERVING)
+            if self.before is Phase.OUT_OF_SERVICE:
+                self.out_of_service()
 
     def ready(self) -> bool:
-        """True once calls can be served here: workers are known, and it is not about to end."""
-        return self.phase in (Phase.SERVING, Phase.OUT_OF_SERVICE) and self.exchange.listed
+        """True once calls can be served here: the list has come, or is late, and this is not about to end."""
+        if self.phase is Phase.HANDED_OVER:
+            return True  # the newer process is
+        told = self.exchange.listed or time.monotonic() - self.begun > LIST_S
+        return told and self.phase in (Phase.SERVING, Phase.OUT_OF_SERVICE)
 
     def out_of_service(self) -> bool:
         """Empty the dispatcher, for its operators; False where it is about to end."""
@@ -112,6 +219,7 @@
             return False
         self.exchange.ban(worker_id, on)
         self.bans.write(self.exchange.bans)
+        self.handover.send("ban", id=worker_id, on=on)
         return True
 
     async def _empty(self) -> None:
@@ -132,20 +240,25 @@
         left_s = min(longest_s, LONGEST_S) + KILL_S - LAST_S
         last = asyncio.get_running_loop().time() + left_s
         self._stop_emptying()
+        handed_over = self.phase is Phase.HANDED_OVER
         self._enter(Phase.DRAINING)
         self.exchange.end(left_s)  # SIGKILL would leave what is owed then without any answer
-        await asyncio.sleep(STAY_S)
-        self._enter(Phase.CLOSING)
-        self.acceptor.begin_closing()
+        if not handed_over:  # else connections go to the newer process after their answers
+            await asyncio.sleep(STAY_S)
+            self._enter(Phase.CLOSING)
+            self.acceptor.begin_closing()
         with suppress(TimeoutError):
             async with asyncio.timeout_at(last + LAST_S / 2):
                 await self._settled()
+                while handed_over and (self.acceptor.connections or self.handover.busy):
+                    await asyncio.sleep(LOOK_S)
         self._enter(Phase.STOPPING)
         await self.tasks.stop()
         await self.registry.stop()
         await self.operators.stop()
         await self.acceptor.stop()
         await self.workers.stop()
+        self.handover.stop()
         self._enter(Phase.STOPPED)
 
     async def _settled(self) -> None:
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -150,7 +150,7 @@
         self.tasks = Tasks()
         self.sending: dict[Attempt, asyncio.Task[None]] = {}
         self.open_connections = 0
-        self.most_connections = config.sockets * 3 // 10
+        self.most_connections = self.full = config.sockets * 3 // 10
         self.tasks.start(self._sweep(), "closing of idle connections")
 
     def retune(self, config: Config) -> None:
@@ -158,6 +158,10 @@
         self.config = config
         self.idle_limit_s = config.settings.conn_idle_ns / 1e9 * IDLE_PART
 
+    def limit(self, part: float) -> None:
+        """Hold no more than a part of the connections: another process has the others."""
+        self.most_connections = int(self.full * part)
+
     @property
     def busy(self) -> bool:
         """True while workers are still to be told of something."""
