Pass calls in hand on to the newer process, with their attempts and their clients' connections

Checked in the counters of both processes: those calls had sent their jobs long before, and nothing but the end of the older process stood against them. Ruled out: the door (0 requests ended there), call-backs (all matched). At fault: Program.hand_over passed connections between two requests alone.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -11,12 +11,12 @@
 
 import pytest
 
-from example.toy import read_message
+from example.toy import Message, read_message
 from tests.site import Site, job, site, until
 from weldquay.net import handover, program
 from weldquay.net.bans import place
 from weldquay.net.config import Address
-from weldquay.net.handover import Link, Message
+from weldquay.net.handover import Link
 from weldquay.net.program import Phase, Program
 
 NAME = "toy-dispatcher"
@@ -61,8 +61,10 @@
                     writer.write(job(f"d{number}"))
                     assert (await read_message(reader)).body == b"TEXT"
                 ending = asyncio.create_task(older.finish())
+                await until(lambda: second.counters.counts["calls_adopted"])
                 await worker.tell("c1", state="done", result="kept")
                 assert (await read_message(calling)).body == b"kept"
+                assert older.counters.counts["attempts_ok"] == 1
                 caller.write(job("d9"))
                 assert (await read_message(calling)).body == b"TEXT"
                 await ending
@@ -76,6 +78,53 @@
     asyncio.run(scenario())
 
 
+def test_a_call_that_is_half_sent_waits_for_its_202() -> None:
+    """Its call-back comes to the newer process, and is told to the older one; after the 202 it goes on."""
+    async def scenario() -> None:
+        async with site() as here:
+            worker, older, gate = here.workers[0], here.program, asyncio.Event()
+
+            async def slow(message: Message, writer: asyncio.StreamWriter) -> None:
+                await gate.wait()
+                await worker.accept(message, writer)
+            worker.script = slow
+            answers = [asyncio.create_task(here.post(f"c{number}", "/import")) for number in range(2)]
+            await until(lambda: len(worker.methods()) == 2)
+            async with newer(here) as second:
+                for _ in range(2):
+                    await worker.tell("c0", state="done", result="early")
+                assert (await answers[0]).body == b"early"
+                assert older.counters.counts["attempts_ok"] == 1
+                gate.set()
+                await until(lambda: second.counters.counts["calls_adopted"])
+                await worker.tell("c1", state="done", result="late")
+                assert (await answers[1]).body == b"late" and worker.methods() == ["POST"] * 2
+                # What matches nothing at either comes back once, behind what had been sent before.
+                assert second.counters.counts["handover_call-back"] == 1
+    asyncio.run(scenario())
+
+
+def test_an_adopted_call_that_may_run_again_is_sent_elsewhere_when_lost() -> None:
+    """Its sends so far count, a client that leaves ends it, and its deadline is its own."""
+    async def scenario() -> None:
+        async with site(workers=2, caps={"max_attempts": 2}) as here:
+            for worker in here.workers:
+                worker.script = worker.accept
+            _, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            writer.write(job("c1"))
+            first = await until(lambda: next((each for each in here.workers if each.methods()), None))
+            async with newer(here) as second:
+                await until(lambda: second.counters.counts["calls_adopted"])
+                await first.tell("c1", state="lost")
+                await until(lambda: sum(len(each.methods()) for each in here.workers) == 2)
+                last = next(each for each in here.workers if each.methods()[-1:] and (
+                    each is not first or len(each.methods()) == 2))
+                writer.close()
+                await until(lambda: last.methods()[-1] == "DELETE")
+                assert second.counters.counts["clients_gone"] == 1 and not second.exchange.calls
+    asyncio.run(scenario())
+
+
 def test_what_waits_in_the_systems_queue_is_served_by_the_newer_process(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """The listener itself is passed on: of two listeners the closing one resets what waits at it."""
@@ -100,7 +149,7 @@
     """Before it is ready, and after: what it did not take comes back."""
     async def scenario() -> None:
         async with site() as here:
-            told: list[Message] = []
+            told: list[handover.Message] = []
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
             writer.write(job("c0"))
             assert (await read_message(reader)).body == b"TEXT"
@@ -109,7 +158,7 @@
                 sock.connect(str(place(NAME, ".sock")))
                 link = Link(sock, told.append, lambda unsent: None)
                 for kind in kinds:
-                    link.send(kind)
+                    link.send(kind, form=handover.FORM)
                 while last not in [each.kind for each in told]:
                     await asyncio.sleep(0.01)
                 link.close()
@@ -165,7 +214,7 @@
     """More than the system's buffer holds; all come, in order, and none is left open."""
     async def scenario() -> None:
         ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        got: list[Message] = []
+        got: list[handover.Message] = []
         files = len(os.listdir("/proc/self/fd"))
         first = Link(ends[0], got.append, lambda unsent: None)
         for number in range(200):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+import h11
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as some
@@ -177,3 +178,16 @@
             messages.operator_call(method, target)
     else:
         assert messages.operator_call(method, target) == messages.OperatorCall(*expected)
+
+
+def test_a_request_is_written_again_with_the_time_that_is_left() -> None:
+    """In one piece, whatever its framing was; all else as it came."""
+    http = h11.Connection(h11.SERVER)
+    http.receive_data(
+        b"POST /a?b=1 HTTP/1.1\r\nHost: a\r\nX-Time-Left-Ms: 900\r\nX-Correlation-Id: c1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+    request = http.next_event()
+    assert isinstance(request, h11.Request)
+    assert messages.request_again(request, b"abc", 250_900_000) == (
+        b"POST /a?b=1 HTTP/1.1\r\nhost: a\r\nx-correlation-id: c1\r\nx-time-left-ms: 250\r\n"
+        b"content-length: 3\r\n\r\nabc")
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -254,9 +254,22 @@
     memory: Mapping[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A request that an earlier process of this dispatcher took; worker 0 means that no attempt is out."""
+
+    request: Request
+    born_ns: int
+    attempts: int
+    worker: int = 0
+    sent_ns: int = 0
+    started_ns: int = 0
+
+
 Event = (
     Membership | Request | AttemptEnded | ProbeEnded | AttemptNote | StreamBegun | ClientGone | TimerDue
     | PeerMessage | Ending | Retuned | Banned | Recalled
+    | Adopted
 )
 
 
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -20,13 +20,13 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from typing import Any
 
 from weldquay.interface import (
-    Action, AttemptEnded, AttemptNote, Banned, Cancel, ClientGone, CloseIdle, Effect, Ending, Event, Fail,
-    Group, JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Refuse, Request,
-    Recalled, Retuned, Send, SetTimer, Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
+    Action, Adopted, AttemptEnded, AttemptNote, Banned, Cancel, ClientGone, CloseIdle, Effect, Ending,
+    Event, Fail, Group, JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Recalled,
+    Refuse, Request, Retuned, Send, SetTimer, Settings, StreamBegun, Watch, WorkerEntry, WorkerState,
 )
 
 SECOND_NS = 1_000_000_000
@@ -56,9 +56,7 @@
 ZONE_LEARN = 0.1  # weight of a new report in the mean load of its zone: some seconds of a quiet dispatcher
 FAR_LOAD = 1.0  # jobs that a near worker may hold more than a far one where crossing has a price
 MOST_TURNED_AWAY = 1000  # jobs remembered for their retries: some seconds of a heavy overload
-# What a later process of the dispatcher is told of a worker.
-KEPT = ("free", "free_memory", "size", "report_ns", "changes", "changed", "changed_memory", "refusals",
-        "errors", "rest_ns", "suspect", "trial_ns", "backoff_ns", "back_ns", "pushed", "job_sign_ns")
+OWN = {"entry", "live", "report", "own", "drag", "probe_out", "used_ns"}  # not told to a later process
 LEARN = 0.05  # weight of a new sample in learnt means
 
 
@@ -118,8 +116,8 @@
     number: int
     worker: Worker
     sent_ns: int
-    called_off: bool = False
     idle_ns: int = 0  # how long the connection it went out on had been idle; 0: a new or a busy one
+    called_off: bool = False
     started_ns: int = 0  # when it told its start; 0: not told
 
 
@@ -188,8 +186,7 @@
         """Drop own changes older than this."""
         while self.changes and self.changes[0][0] < before_ns:
             _, slots, memory = self.changes.popleft()
-            self.changed -= slots
-            self.changed_memory -= memory
+            self.changed, self.changed_memory = self.changed - slots, self.changed_memory - memory
 
     def note_change(self, now_ns: int, slots: float, memory: float) -> None:
         """Book an own push (positive) or an attempt's end (negative)."""
@@ -236,9 +233,9 @@
         self.ask_wait_ns, self.end_ns = ASK_AGAIN_NS, math.inf  # end_ns: when this dispatcher ends
         self.takes: dict[type, Callable[[Any], object]] = {
             Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
-            ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune,
-            Banned: self._ban, Recalled: self._recall,
-            ClientGone: lambda event: self._close(event.request), StreamBegun: self._begin_stream}
+            ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune, Banned: self._ban,
+            Recalled: self._recall, Adopted: self._adopt, StreamBegun: self._begin_stream,
+            ClientGone: lambda event: self._close(event.request)}
 
     def step(self, now_ns: int, events: list[Event]) -> list[Action]:
         """Take in events that came at now_ns and return what to do about them."""
@@ -273,14 +270,26 @@
 
     def remember(self) -> dict[int, dict[str, Any]]:
         """What a later process of this dispatcher is to know of each worker; both read one clock."""
-        return {number: {name: getattr(worker, name) for name in KEPT}
-                for number, worker in self.workers.items()}
+        kept = [each.name for each in fields(Worker) if each.name not in OWN]
+        return {each: {name: getattr(worker, name) for name in kept} for each, worker in self.workers.items()}
 
     def _recall(self, event: Recalled) -> None:
         if (worker := self.workers.get(event.worker)) is not None:
             for name, value in event.memory.items():
                 setattr(worker, name, deque(map(tuple, value)) if isinstance(value, list) else value)
 
+    def _adopt(self, event: Adopted) -> None:
+        """Go on with a job of an earlier process, and the attempt that may be out; its load is recalled."""
+        self._take(event.request)
+        job = self.jobs[event.request.request]
+        job.born_ns, job.attempts = event.born_ns, event.attempts
+        if event.worker:
+            del self.held[event.request.request]
+            gone = Worker(WorkerEntry(event.worker, WorkerState.GONE))
+            worker = self.workers.setdefault(event.worker, gone)
+            self._book(Attempt(job, job.attempts - 1, worker, event.sent_ns, started_ns=event.started_ns))
+            worker.own += event.request.slots
+
     def _begin_stream(self, event: StreamBegun) -> None:
         if event.request in self.jobs:
             self.jobs[event.request].stream = True
@@ -318,13 +327,12 @@
     # --- jobs ---
 
     def _take(self, request: Request) -> None:
-        rules, now = self.settings.classes[request.job_class], self.now_ns
         # A retry is known by the figures of a job that was turned away here, and is as old as that one.
-        born_ns = self.turned_away.pop(_likeness(request), now)
-        job = Job(request, rules, born_ns, self.settings.max_attempts)
+        born_ns = self.turned_away.pop(_likeness(request), self.now_ns)
+        job = Job(request, self.settings.classes[request.job_class], born_ns, self.settings.max_attempts)
         self.jobs[request.request] = self.held[request.request] = job
         # The answer is due a tick before the client's time runs out, whatever else happens.
-        left_ns = int(min(max(0, request.time_left_ns - self.settings.tick_ns), max(0, self.end_ns - now)))
+        left_ns = int(max(0, min(request.time_left_ns - self.settings.tick_ns, self.end_ns - self.now_ns)))
         heapq.heappush(self.due, (self.now_ns + left_ns, request.request))
         self.out.append(SetTimer(left_ns, 2))
         each = min(LOOK_MOST, PROBE_SPEND / max(1e-9, self.settings.probe_price))
@@ -386,8 +394,7 @@
 
     def _end_attempt(self, event: AttemptEnded) -> None:
         """An outcome: free what the attempt held, then redraw, wait, or give the final answer."""
-        attempt = self.attempts.pop((event.request, event.attempt), None)
-        if attempt is None:
+        if (attempt := self.attempts.pop((event.request, event.attempt), None)) is None:
             return
         job, worker, need = attempt.job, attempt.worker, attempt.job.request
         del worker.live[(event.request, event.attempt)]
@@ -400,8 +407,10 @@
             worker.clear()
         lasting = event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.REJECTED)
         worker.used_ns = self.now_ns if lasting else 0
-        if event.outcome is Outcome.RESET and attempt.idle_ns and event.latency_ns < QUICK_NS:
-            self._limit_idle(attempt.idle_ns // 2)
+        # Guards against connections that are dropped unseen while idle: each job sent on one may be lost.
+        if event.outcome is Outcome.RESET and event.latency_ns < QUICK_NS and (
+                0 < attempt.idle_ns // 2 < self._idle_limit()):
+            self.idle_limit_ns, self.idle_learnt_ns = attempt.idle_ns // 2, self.now_ns
         if event.outcome is Outcome.FULL:
             # Guards against reports that promise room a worker does not give: refused again, it rests longer.
             self._feel(worker)
@@ -461,8 +470,7 @@
         return max([last, *(self._over(attempt) for attempt in worker.live.values() if attempt.started_ns)])
 
     def _note(self, event: AttemptNote) -> None:
-        attempt = self.attempts.get((event.request, event.attempt))
-        if attempt is not None:
+        if (attempt := self.attempts.get((event.request, event.attempt))) is not None:
             if event.progress is None:
                 attempt.started_ns = self.now_ns
             attempt.worker.job_sign_ns = self.now_ns
@@ -475,11 +483,6 @@
         back = (self.now_ns - self.idle_learnt_ns) // IDLE_BACK_NS
         return min(self.settings.conn_idle_ns, self.idle_limit_ns << min(back, 30))
 
-    def _limit_idle(self, limit_ns: int) -> None:
-        """Guard against connections that are dropped unseen while idle: each job sent on one may be lost."""
-        if limit_ns < self._idle_limit():
-            self.idle_limit_ns, self.idle_learnt_ns = limit_ns, self.now_ns
-
     def _hear(self, worker: Worker, report: LoadReport) -> None:
         """Take in a report, and learn how often they are new: pushes since the last new one are not in it."""
         gap_ns, new = self.now_ns - worker.report_ns, report != worker.report
@@ -499,8 +502,7 @@
             self.usual_size = max(1.0, self.usual_size + ZONE_LEARN * (worker.size - self.usual_size))
 
     def _end_probe(self, event: ProbeEnded) -> None:
-        worker = self.workers.get(event.worker)
-        if worker is None:
+        if (worker := self.workers.get(event.worker)) is None:
             return
         worker.probe_out, worker.next_probe_ns = False, 0
         if event.latency_ns > LOOK_WAIT_NS or event.outcome is Outcome.FULL:
@@ -664,23 +666,23 @@
             held = load + round(worker.size if worker.size >= 0.5 else self.usual_size)
             loads.append(held + (FAR_LOAD * m * rate if far else 0.0))
         worker = self.random.choices([row[0] for row in choice], weights=water_fill(loads, m, rates))[0]
-        attempt = Attempt(job, job.attempts, worker, self.now_ns)
-        if not worker.live and worker.used_ns:
-            attempt.idle_ns = self.now_ns - worker.used_ns
-            if attempt.idle_ns >= self._idle_limit():
-                self.out.append(CloseIdle(worker.entry.worker))
-                attempt.idle_ns = 0
-        job.attempts += 1
-        job.live[attempt.number] = attempt
-        key = (job.request.request, attempt.number)
-        self.attempts[key] = worker.live[key] = attempt
-        worker.note_change(self.now_ns, slots, job.request.memory)
+        idle_ns = now - worker.used_ns if worker.used_ns and not worker.live else 0
+        if idle_ns >= self._idle_limit():
+            self.out.append(CloseIdle(worker.entry.worker))
+            idle_ns = 0
+        self._book(Attempt(job, job.attempts, worker, now, idle_ns))
+        worker.note_change(now, slots, job.request.memory)
         if worker.started_ns and self.now_ns - worker.started_ns < self.settings.warm_after_ns:
             worker.pushed.append((self.now_ns, self._expected_ns(job)))
         self.push_rate, self.push_rate_ns = self._rate() + 1 / RATE_TIME_NS, self.now_ns
-        self.out.append(Send(key[0], worker.entry.worker))
+        self.out.append(Send(job.request.request, worker.entry.worker))
         return True
 
+    def _book(self, attempt: Attempt) -> None:
+        job, key = attempt.job, (attempt.job.request.request, attempt.number)
+        job.attempts, job.live[attempt.number] = attempt.number + 1, attempt
+        self.attempts[key] = attempt.worker.live[key] = attempt
+
     def _rate(self) -> float:
         return self.push_rate * math.exp((self.push_rate_ns - self.now_ns) / RATE_TIME_NS)
 
@@ -693,8 +695,7 @@
             self.ask_ns = -1
             self.out.append(Watch())
         while self.due and self.due[0][0] <= now:
-            job = self.jobs.get(heapq.heappop(self.due)[1])
-            if job is not None and not job.stream:
+            if (job := self.jobs.get(heapq.heappop(self.due)[1])) is not None and not job.stream:
                 self._answer(job)
         if 0 <= self.awake_ns <= now:
             self.awake_ns = -1
@@ -715,8 +716,7 @@
         told, now = self._told(), self.now_ns
         blocked: dict[tuple[int, float], float] = {}  # least memory of a like job that found no worker
         for job in sorted(self.held.values(), key=self._dearness, reverse=True):
-            need = job.request
-            like = (need.job_class, need.slots)
+            need, like = job.request, (job.request.job_class, job.request.slots)
             if now > self._last_start_ns(job) and job.rules.late_value == 0:
                 self._answer(job)
                 continue
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -8,10 +8,12 @@
 import select
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
+from dataclasses import dataclass
 from enum import Enum
 from functools import partial
+from typing import Any
 
 import h11
 
@@ -19,7 +21,8 @@
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Answer, Call, Exchange, Overload, Served
 from weldquay.net.messages import (
-    MAX_BODY, Body, Figures, Job, MessageError, callback, class_name, figures, last_answer, retry_after,
+    MAX_BODY, Body, Figures, Job, MessageError, callback, class_name, figures, last_answer, request_again,
+    retry_after,
 )
 from weldquay.net.tasks import Tasks
 
@@ -36,6 +39,7 @@
 BASE_MB = 20  # what the program holds without clients
 REQUEST_S = 2.0  # from a connection's or a request's first moment to its last byte; usual clients take 3 ms
 SWEEP_S = 0.1
+PASS_S = 0.02  # how often a call in hand is looked at that is to be passed on
 LINGER_S = 1.0  # after a refused message the client has this long to read why
 MAX_LINGER = 1024 * 1024  # and may send on so much, which is read and dropped
 REASONS = {
@@ -72,7 +76,7 @@
         self.in_hand: set[str] = set()  # ids of the calls in hand
         # Where a newer process takes over, connections between two requests go there, and call-backs that
         # match nothing here; the ids of the older one's open calls are not to be had.
-        self.pass_on: Callable[[int, bytes, bool, float], None] | None = None
+        self.pass_on: Callable[[Passed], None] | None = None
         self.pass_back: Callable[[bytes], None] = lambda body: None
         self.elsewhere: set[str] = set()
         self.tasks = Tasks()
@@ -130,26 +134,55 @@
         """Leave room for so many connections, which another process holds."""
         self.most_connections = max(LEAST_CONNECTIONS, self.full - others)
 
-    def hand_over(self, pass_on: Callable[[int, bytes, bool, float], None]) -> None:
-        """Accept no more, and pass each connection on between two requests."""
+    def hand_over(self, pass_on: Callable[[Passed], None]) -> None:
+        """Accept no more, and pass each connection on between two requests, or with its call."""
         self.stop_accepting()
         self.pass_on = pass_on
-        for state in (State.RESTING, State.READING):
+        for state in (State.RESTING, State.READING, State.CALLING):
             for connection in list(self.among[state]):
                 connection.begin_passing()
 
-    async def adopt(self, file: int, ahead: bytes, resting: bool, since: float) -> None:
-        """Go on with a connection that the other process passed on, and what it had read ahead."""
+    def adopt(self, passed: Passed) -> None:
+        """Go on with a connection that the other process passed on, and with its call.
+
+        With the call at once, since its call-backs may come before its connection is in use here.
+        """
+        known = passed.call is not None and passed.call["class"] in self.config.class_names
+        expected = self._adopt_call(passed) if known else None
+        self.tasks.start(self._adopt(passed, expected), "going on with a connection of the older process")
+
+    def _adopt_call(self, passed: Passed) -> Expected:
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
+        http.receive_data(passed.ahead)
+        request, body = http.next_event(), bytearray()
+        assert isinstance(request, h11.Request) and passed.call is not None
+        while isinstance(event := http.next_event(), h11.Data):
+            body += event.data
+        told = figures(request.headers)
+        answers: list[Answer] = []
+        job = Job(request.target, body, dict(request.headers).get(b"content-type"))
+        self.elsewhere.discard(told.id)
+        self.in_hand.add(told.id)
+        return Expected(self.exchange.adopt(passed.call, told, job, answers.append), answers)
+
+    async def _adopt(self, passed: Passed, expected: Expected | None) -> None:
         reader = asyncio.StreamReader(limit=READ_SIZE)
-        if ahead:
-            reader.feed_data(ahead)
-        sock = socket.socket(fileno=file)
+        if passed.ahead:
+            reader.feed_data(passed.ahead)
+        sock = socket.socket(fileno=passed.file)
         sock.setblocking(False)
         try:
             await asyncio.get_running_loop().connect_accepted_socket(lambda: asyncio.StreamReaderProtocol(
-                reader, partial(self._accept, resting=resting, since=since)), sock)
+                reader, partial(self._accept, passed=passed, expected=expected)), sock)
         except OSError:  # the client has gone meanwhile
             sock.close()
+            self.forget_call(expected)
+
+    def forget_call(self, expected: Expected | None) -> None:
+        """The client of an adopted call has gone."""
+        if expected is not None:
+            self.in_hand.discard(expected.call.id)
+            self.exchange.client_gone(expected.call)
 
     def begin_closing(self) -> None:
         """Close the connections on which nothing is under way, and the others after their answers."""
@@ -179,14 +212,15 @@
         await self.tasks.stop()
 
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, resting: bool = False,
-        since: float = 0.0,
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, passed: Passed | None = None,
+        expected: Expected | None = None,
     ) -> None:
         if len(self.connections) >= self.most_connections and not self._make_room():
             self.counters.add("clients_over_limit")
             writer.transport.abort()
+            self.forget_call(expected)
             return
-        connection = Connection(self, reader, writer, State.RESTING if resting else State.READING, since)
+        connection = Connection(self, reader, writer, passed, expected)
         self.connections[connection] = None
         self.counters.add("client_connections")
         try:
@@ -226,12 +260,31 @@
                     connection.out_of_time()
 
 
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """A connection on its way to a newer process: what was read ahead, or its request and what it tells."""
+
+    file: int
+    ahead: bytes
+    resting: bool
+    since: float
+    call: Mapping[str, Any] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """An adopted call whose connection is on its way; an answer that comes before it waits here."""
+
+    call: Call
+    answers: list[Answer]
+
+
 class Connection:
     """A connection that a client or a match worker opened; it carries one request at a time."""
 
     def __init__(
-        self, acceptor: Acceptor, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, state: State,
-        since: float,
+        self, acceptor: Acceptor, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+        passed: Passed | None, expected: Expected | None,
     ) -> None:
         self.acceptor, self.reader, self.writer = acceptor, reader, writer
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
@@ -243,8 +296,10 @@
         self.answered = asyncio.Event()
         self.heard = False  # something has come
         self.passing = False  # it goes to a newer process
-        self.state = state
-        self.since = since or time.monotonic()
+        self.expected = expected  # the call of its first request, where that goes on here
+        self.state, self.since = State.READING, time.monotonic()
+        if passed is not None and passed.call is None:
+            self.state, self.since = State.RESTING if passed.resting else State.READING, passed.since
         acceptor.among[self.state][self] = None
 
     @property
@@ -262,24 +317,41 @@
                 asyncio.get_running_loop().call_soon(self.begin_passing)
 
     def begin_passing(self) -> None:
-        """Stop reading, if this is between two requests; what was read before goes along, by way of `run`."""
-        if not self.passing and (self.state is State.RESTING or (
-                self.state is State.READING and not self.heard)) and not self.writer.is_closing():
+        """Stop reading, unless in the midst of a request; what was read goes along, by way of `run`."""
+        midst = self.state is State.READING and self.heard
+        full = self.call is not None and self.ahead > MAX_AHEAD
+        if not (self.passing or midst or full or self.leaving or self.writer.is_closing()):
             self.passing = True
             self.writer.transport.pause_reading()  # type: ignore[attr-defined]
             self.reader.feed_eof()  # ends the waiting of `run`
 
     async def _pass_on(self, data: bytes) -> None:
-        """Give the connection to the newer process, once all is written; its end here closes nothing."""
-        ahead = self.http.trailing_data[0] + data
-        while data := await self.reader.read(READ_SIZE):
-            ahead += data
-        self.writer.transport.set_write_buffer_limits(high=0)
-        await self.writer.drain()
-        if self.acceptor.pass_on is not None and not self.writer.is_closing():
-            self.acceptor.counters.add("clients_passed_on")
-            file = os.dup(self.writer.get_extra_info("socket").fileno())
-            self.acceptor.pass_on(file, ahead, self.state is State.RESTING, self.since)
+        """Give the connection to the newer process, once all is written; its end here closes nothing.
+
+        With a call in hand it waits until that can go as well, or has its answer.
+        """
+        while more := await self.reader.read(READ_SIZE):
+            data += more
+        acceptor, exchange = self.acceptor, self.acceptor.exchange
+        while self.call is not None and (acceptor.pass_on is None or not exchange.may_pass(self.call)):
+            await asyncio.sleep(PASS_S)
+        if self.call is None:
+            self.writer.transport.set_write_buffer_limits(high=0)
+            await self.writer.drain()
+        if self.acceptor.pass_on is None or self.leaving or self.writer.is_closing():
+            return
+        ahead, told = self.http.trailing_data[0] + data, None
+        if self.call is not None:
+            self.acceptor.counters.add("calls_passed_on")
+            assert self.request is not None
+            left_ns = self.call.deadline_ns - time.monotonic_ns()
+            ahead = request_again(self.request, b"".join(self.body), left_ns) + ahead
+            told = exchange.pass_on(self.call)
+            self.acceptor.in_hand.discard(self.call.id)
+            self.call = None
+        self.acceptor.counters.add("clients_passed_on")
+        file = os.dup(self.writer.get_extra_info("socket").fileno())
+        self.acceptor.pass_on(Passed(file, ahead, self.state is State.RESTING, self.since, told))
 
     def forget(self) -> None:
         """Count no more among the connections."""
@@ -305,6 +377,7 @@
     def lost(self) -> None:
         """The connection has ended: a call still in hand loses its client."""
         self.forget()
+        self.acceptor.forget_call(self.expected)
         if self.call is not None:
             self.acceptor.in_hand.discard(self.call.id)
             self.acceptor.exchange.client_gone(self.call)
@@ -431,6 +504,12 @@
     def _open(self, request: h11.Request, job_class: int, body: Body) -> None:
         """Hand a call to the exchange."""
         told: Figures = figures(request.headers)
+        if (expected := self.expected) is not None:
+            self.expected, self.call, expected.call.on_answer = None, expected.call, self._answer
+            self._enter(State.CALLING)
+            for answer in expected.answers:
+                self._answer(answer)
+            return
         if self.acceptor.refusing:
             self.acceptor.counters.add("calls_out_of_service")
             self._overload(self.acceptor.config.settings.max_retry_after_ns)
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -58,13 +58,22 @@
     payload: object
     deadline_ns: int
     on_answer: Callable[[Answer], None]
-    safe: bool  # to run again
+    figures: Figures
+    job_class: int
+    rules: api.JobClass
+    opened_ns: int
     most: int  # attempts
     open: bool = True
     sends: int = 0
+    ran: bool = False  # an attempt that has ended may have run
     live: dict[int, Attempt] = field(default_factory=dict)
     overdue: asyncio.TimerHandle | None = None
 
+    @property
+    def safe(self) -> bool:
+        """True where the job may run again."""
+        return self.rules.effect is api.Effect.SAFE
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -77,7 +86,7 @@
     sent_ns: int
     deadline_ns: int
     timer: asyncio.TimerHandle | None = None
-    begun: bool = False  # its worker has told that it runs
+    begun_ns: int = 0  # when its worker told that it runs; 0: not told
     ended: bool = False
 
 
@@ -96,6 +105,9 @@
     def ban(self, worker_id: str, on: bool) -> None:
         """Send no new job to a worker any more, or do so again."""
 
+    def is_telling(self, call: Call) -> bool:
+        """True while a worker is being sent a call, or told that nobody waits for it."""
+
     def probe(self, worker_id: str) -> None:
         """Probe a worker; the result is told by `probe_ended`."""
 
@@ -155,23 +167,36 @@
             self.counters.add("calls_over_limit")
             return None
         self.counters.add("calls")
-        self.last_call = (self.last_call + 1) % 2**32
         left_ns = figures.time_left_ns
         if left_ns is None:
             left_ns = self.config.settings.classes[job_class].give_up_ns
-        safe = self.config.settings.classes[job_class].effect is api.Effect.SAFE
+        now_ns = time.monotonic_ns()
+        call = self._enter(figures, job_class, payload, now_ns, now_ns + left_ns, on_answer)
+        self._tell(self._request(call, left_ns))
+        return call
+
+    def _enter(
+        self, figures: Figures, job_class: int, payload: object, opened_ns: int, deadline_ns: int,
+        on_answer: Callable[[Answer], None],
+    ) -> Call:
+        self.last_call = (self.last_call + 1) % 2**32
+        settings = self.config.settings
         call = Call(
-            figures.id, self.last_call, payload, time.monotonic_ns() + left_ns, on_answer, safe,
-            self.config.settings.max_attempts)
+            figures.id, self.last_call, payload, deadline_ns, on_answer, figures, job_class,
+            settings.classes[job_class], opened_ns, settings.max_attempts)
         # By way of call_soon: after a stall of the loop the step that answers in time comes first.
         call.overdue = self.loop.call_later(
-            (left_ns + OVERDUE_NS) / 1e9, self.loop.call_soon, self._overdue, call)
+            max(0, deadline_ns + OVERDUE_NS - time.monotonic_ns()) / 1e9, self.loop.call_soon, self._overdue,
+            call)
         self.calls[call.number] = call
-        self._tell(api.Request(
-            call.number, job_class, left_ns, figures.slots, figures.memory, figures.hint_ns, figures.key,
-            figures.repeat))
         return call
 
+    def _request(self, call: Call, left_ns: int) -> api.Request:
+        figures = call.figures
+        return api.Request(
+            call.number, call.job_class, left_ns, figures.slots, figures.memory, figures.hint_ns, figures.key,
+            figures.repeat)
+
     def retune(self, config: Config) -> None:
         """Take in other settings; calls in hand keep those that they came with."""
         self.config = config
@@ -223,7 +248,7 @@
             return False
         self.counters.add("callbacks")
         if told.outcome is None:
-            attempt.begun = True
+            attempt.begun_ns = attempt.begun_ns or time.monotonic_ns()
             self._tell(api.AttemptNote(attempt.call.number, attempt.number, attempt.worker, told.progress))
         else:
             self.attempt_ended(attempt, told.outcome, told.load, told.result)
@@ -235,14 +260,10 @@
         """Tell the one end of an attempt; a second one changes nothing."""
         if attempt.ended:
             return
-        attempt.ended = True
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        self._remove(attempt)
         call = attempt.call
-        del self.attempts[call.number, attempt.number]
-        del self.at_worker[call.id, attempt.worker_id]
-        del call.live[attempt.number]
         self.counters.add(f"attempts_{outcome.value}")
+        call.ran = call.ran or not outcome.never_ran
         if outcome is api.Outcome.OK:
             self._answer(call, Served(result))
         over = not call.open
@@ -252,6 +273,24 @@
             call.number, attempt.number, attempt.worker, outcome, time.monotonic_ns() - attempt.sent_ns, over,
             load))
 
+    def _register(self, attempt: Attempt) -> None:
+        """Count an attempt as out, until its end or its deadline."""
+        call = attempt.call
+        attempt.timer = self.loop.call_later(
+            max(0, attempt.deadline_ns - time.monotonic_ns()) / 1e9, self._give_up, attempt,
+            api.Outcome.TIMEOUT)
+        call.live[attempt.number] = self.attempts[call.number, attempt.number] = attempt
+        self.at_worker[call.id, attempt.worker_id] = attempt
+
+    def _remove(self, attempt: Attempt) -> None:
+        attempt.ended = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        call = attempt.call
+        del self.attempts[call.number, attempt.number]
+        del self.at_worker[call.id, attempt.worker_id]
+        del call.live[attempt.number]
+
     def probe_ended(
         self, worker_id: str, outcome: api.Outcome, latency_ns: int, load: api.LoadReport | None = None
     ) -> None:
@@ -300,6 +339,49 @@
         """Take in what an earlier process knew of a worker."""
         self._tell(api.Recalled(self._number(worker_id), told))
 
+    def may_pass(self, call: Call) -> bool:
+        """True where a later process can go on with the call: nothing of it is half done here.
+
+        That process knows today's rules, and of an attempt that has ended only that it has.
+        """
+        settings = self.config.settings
+        return call.open and (
+            call.rules == settings.classes[call.job_class] and call.most == settings.max_attempts
+            and (call.safe or not call.ran) and not self.workers.is_telling(call))
+
+    def pass_on(self, call: Call) -> dict[str, Any]:
+        """End a call here without an answer: a later process goes on with what this tells."""
+        told = {
+            "class": self.config.class_names[call.job_class], "opened_ns": call.opened_ns,
+            "deadline_ns": call.deadline_ns, "sends": call.sends, "attempts": [
+                [each.number, each.worker_id, each.sent_ns, each.deadline_ns, each.begun_ns]
+                for each in call.live.values()]}
+        for attempt in list(call.live.values()):
+            self._remove(attempt)
+            self._tell(api.AttemptEnded(
+                call.number, attempt.number, attempt.worker, api.Outcome.CANCELLED, 0, True))
+        self._close(call)
+        self._tell(api.ClientGone(call.number))
+        return told
+
+    def adopt(
+        self, told: Mapping[str, Any], figures: Figures, payload: object, on_answer: Callable[[Answer], None]
+    ) -> Call:
+        """Go on with a call as an earlier process told of it."""
+        self.counters.add("calls_adopted")
+        call = self._enter(
+            figures, self.config.class_names.index(told["class"]), payload, told["opened_ns"],
+            told["deadline_ns"], on_answer)
+        call.sends, now_ns = told["sends"], time.monotonic_ns()
+        worker = sent_ns = begun_ns = 0
+        for number, worker_id, sent_ns, deadline_ns, begun_ns in told["attempts"]:
+            worker = self._number(worker_id)
+            self._register(Attempt(call, number, worker, worker_id, sent_ns, deadline_ns, begun_ns=begun_ns))
+        self._tell(api.Adopted(
+            self._request(call, call.deadline_ns - now_ns), call.opened_ns, call.sends, worker, sent_ns,
+            begun_ns))
+        return call
+
     def list_failed(self) -> None:
         """A call to discovery failed, or the watch has ended."""
         self.counters.add("lists_failed")
@@ -381,9 +463,7 @@
         if action.timeout_ns:
             deadline_ns = min(deadline_ns, now_ns + action.timeout_ns)
         attempt = Attempt(call, number, action.worker, name, now_ns, deadline_ns)
-        attempt.timer = self.loop.call_later(
-            (deadline_ns - now_ns) / 1e9, self._give_up, attempt, api.Outcome.TIMEOUT)
-        call.live[number] = self.attempts[call.number, number] = self.at_worker[call.id, name] = attempt
+        self._register(attempt)
         self.workers.send(attempt)
 
     def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -23,6 +23,7 @@
 
 log = logging.getLogger(__name__)
 
+FORM = 1  # of these messages: a process that speaks another is left to start by itself
 MAX_MESSAGE = 160 * 1024  # a call-back or what was read ahead, and some more; the system's buffer holds it
 ASK_S = 1.5  # an older process that does not answer by then is left out
 TAKE_S = 1.5  # nor is it waited for any longer once this one is ready
@@ -167,7 +168,7 @@
                 log.info("no older process at %s: %s", self.path, error)
             return None
         self.link = Link(sock, self._take, self._lost)
-        self.link.send("ask")
+        self.link.send("ask", form=FORM)
         with suppress(TimeoutError):
             async with asyncio.timeout(ASK_S):
                 await self.answered.wait()
@@ -239,7 +240,7 @@
     def _take(self, message: Message) -> None:
         match message.kind:
             case "ask":
-                offer = self.process.offer()
+                offer = self.process.offer() if message.told.get("form") == FORM else None
                 if offer is not None:
                     self.send("offer", file=offer[0], **offer[1])
                 elif self.link is not None:
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -10,6 +10,7 @@
 from typing import Any
 from urllib.parse import unquote
 
+import h11
 import ujson
 
 from weldquay import interface as api
@@ -129,6 +130,16 @@
         status, HTTPStatus(status).phrase.encode(), len(body), b"" if head else body)
 
 
+def request_again(request: h11.Request, body: bytes, left_ns: int) -> bytes:
+    """The bytes of a request that was read, with its body as one piece and the time that is left."""
+    told = {b"x-time-left-ms": b"%d" % max(0, left_ns // MS), b"content-length": b"%d" % len(body)}
+    lines = [b"%s %s HTTP/%s" % (request.method, request.target, request.http_version)]
+    lines += [b"%s: %s" % (name, value) for name, value in request.headers
+              if name not in told and name not in (b"transfer-encoding", b"expect")]
+    lines += [b"%s: %s" % pair for pair in told.items()]
+    return b"\r\n".join([*lines, b"", body])
+
+
 def figures(headers: Headers) -> Figures:
     """The figures of a call from its headers (names in lower case, as h11 gives them)."""
     values = dict(headers)
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -15,7 +15,7 @@
 from functools import partial
 from typing import Any
 
-from weldquay.net.acceptor import Acceptor
+from weldquay.net.acceptor import Acceptor, Passed
 from weldquay.net.bans import Bans
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
@@ -138,15 +138,16 @@
         self._stop_emptying()
         self._enter(Phase.HANDED_OVER)
         for worker_id, told in self.exchange.remember().items():
-            self.handover.send("worker", id=worker_id, memory=told)
+            self.handover.send("worker", id=worker_id, memory=told, at=self.workers.address(worker_id))
         ids = list(self.acceptor.in_hand)
         for at in range(0, len(ids), IDS):
             self.handover.send("open", ids=ids[at:at + IDS])
         self.acceptor.hand_over(self._pass_client)
         self.tasks.start(self._tell_held(), "telling of the connections that are left")
 
-    def _pass_client(self, file: int, ahead: bytes, resting: bool, since: float) -> None:
-        self.handover.send("client", ahead, file, resting=resting, since=since)
+    def _pass_client(self, passed: Passed) -> None:
+        self.handover.send(
+            "client", passed.ahead, passed.file, resting=passed.resting, since=passed.since, call=passed.call)
 
     async def _tell_held(self) -> None:
         """Tell the newer process how many connections it has to leave room for."""
@@ -158,19 +159,22 @@
         """Take in what the other process tells; what an unknown kind says is left out."""
         match message.kind:
             case "worker":
+                self.workers.learn(message.told["id"], *message.told["at"])
                 self.exchange.recall(message.told["id"], message.told["memory"])
             case "open":
                 self.acceptor.elsewhere.update(message.told["ids"])
             case "client":
-                self.tasks.start(self.acceptor.adopt(
-                    message.file, message.data, message.told["resting"], message.told["since"]), "adopting")
+                self.acceptor.adopt(Passed(message.file, message.data, **message.told))
             case "held":
                 self.acceptor.limit(NEWER_FILES + message.told["clients"])
             case "ban":
                 self.exchange.ban(message.told["id"], message.told["on"])
             case "call-back":
                 with suppress(MessageError):
-                    self.exchange.call_back(callback(message.data, self.config.report_fields))
+                    matched = self.exchange.call_back(callback(message.data, self.config.report_fields))
+                    # Guards against a call-back that overtakes its call: back it comes behind it.
+                    if not matched and self.acceptor.pass_on is not None:
+                        self.handover.send("call-back", message.data)
 
     def alone(self, unsent: Iterable[Message]) -> None:
         """The other process has gone: all room is this one's; if it was to take over, this one goes on."""
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -213,6 +213,20 @@
             worker.banned = on
             self.close_idle(worker_id)
 
+    def is_telling(self, call: Call) -> bool:
+        """True while a worker is being sent a call, or told that nobody waits for it."""
+        return any(each.call is call for each in self.sending) or any(
+            call.id in worker.giving_up for worker in self.known.values())
+
+    def address(self, worker_id: str) -> tuple[str, int]:
+        """Where a worker listens."""
+        return self.known[worker_id].member.host, self.known[worker_id].member.port
+
+    def learn(self, worker_id: str, host: str, port: int) -> None:
+        """Know a worker of an earlier process, which the list may not name any more: jobs may be there."""
+        gone = Member(worker_id, host, port, "", "", 0, api.WorkerState.GONE, 1.0, 0)
+        self.known.setdefault(worker_id, Worker(gone, worker_id in self.exchange.bans))
+
     def probe(self, worker_id: str) -> None:
         """Probe a worker."""
         self.tasks.start(self._probe(self.known[worker_id]), f"probe of {worker_id}")
@@ -253,7 +267,7 @@
         except TimeoutError:
             self.counters.add("answers_missing")
             # Guards against connections that fall silent: what may run again must not wait for its deadline.
-            if attempt.call.safe and not attempt.begun and not attempt.ended:
+            if attempt.call.safe and not attempt.begun_ns and not attempt.ended:
                 self.exchange.attempt_ended(attempt, api.Outcome.RESET)
                 self._tell_given_up(attempt)
         else:
