Give the newer process the older one's list, so that it is ready at once and knows drains

Checked: a watch tells only what has changed since the revision that is known, so where nothing changes no list ever comes; and the file's list may be older than a drain that the older process was told. Ruled out: the start itself (0.4 s). At fault: Exchange.follow, which took only a list that names workers as told. Also: ids that are gone are forgotten beyond 1,000; the phases are a table in the architecture page, which a test reads; a page for staff on call.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -125,6 +125,23 @@
     asyncio.run(scenario())
 
 
+def test_the_list_is_inherited_and_news_since_then_asked_for() -> None:
+    """A worker that drains must not get work from the file's old list; discovery may be away for a while."""
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            await here.discovery.change(here.workers[0], "DRAINING")
+            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            here.discovery.stop()  # the file still says that both serve
+            async with newer(here) as second:
+                assert [worker.member.state.value for worker in second.workers.known.values()] == [
+                    "draining", "ready"]
+                assert second.registry.revision == here.discovery.revision
+                for number in range(4):
+                    assert (await here.post(f"c{number}")).body == b"TEXT"
+                assert here.workers[0].methods() == []
+    asyncio.run(scenario())
+
+
 def test_what_waits_in_the_systems_queue_is_served_by_the_newer_process(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """The listener itself is passed on: of two listeners the closing one resets what waits at it."""
--- /dev/null
+++ b/tests/test_phases.py
@@ -0,0 +1,90 @@
+"""What meets what: the table of the architecture page, row by row."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.site import document, site, until
+from tests.test_handover import newer
+from weldquay.net import program
+from weldquay.net.config import read
+from weldquay.net.program import Phase, Program
+
+PAGE = Path(__file__).parents[1] / "docs" / "architecture.md"
+
+
+def table() -> list[tuple[str, str, str]]:
+    """Each cell as (phase, what happens, what follows)."""
+    text = PAGE.read_text().split("## Phases\n", 1)[1].split("\n## ", 1)[0]
+    lines = [line for line in text.splitlines() if line[:1] == "|"]
+    head, _, *rows = [[cell.strip() for cell in line.strip("|").split("|")] for line in lines]
+    return [(row[0], event, cell) for row in rows for event, cell in zip(head[1:], row[1:], strict=True)]
+
+
+async def reach(phase: str, stack: AsyncExitStack) -> Program:
+    """A program in that phase, by the way that leads there."""
+    if phase == "starting":
+        return Program(read({}, document()))
+    here = await stack.enter_async_context(site())
+    if phase == "out of service":
+        here.program.out_of_service()
+    elif phase == "handed over":
+        await stack.enter_async_context(newer(here))
+    elif phase != "serving":
+        stack.callback(asyncio.create_task(here.program.finish()).cancel)
+        if phase == "closing":  # and stay there
+            here.workers[0].script = here.workers[0].accept
+            owed = asyncio.create_task(here.post())
+            stack.callback(owed.cancel)
+        await until(lambda: here.program.phase.value == phase)
+    return here.program
+
+
+async def meet(here: Program, event: str, stack: AsyncExitStack) -> bool:
+    """Have it happen; False where the answer is no."""
+    if event in ("out-of-service", "in-service"):
+        return here.out_of_service() if event == "out-of-service" else here.in_service()
+    if event == "SIGHUP":
+        here.reload_wanted.set()
+        if here.phase is not Phase.STARTING:
+            await until(lambda: not here.reload_wanted.is_set())
+    elif event == "a newer process is ready":
+        here.hand_over()
+    else:
+        here.drain()
+        if here.phase not in (Phase.STARTING, Phase.DRAINING, Phase.CLOSING):
+            ending = asyncio.create_task(here.finish())
+            await asyncio.sleep(0)  # the phase that follows at once; after a handover it is soon over
+            stack.callback(ending.cancel)
+    return True
+
+
+@pytest.mark.parametrize(("phase", "event", "follows"), table())
+def test_phases(phase: str, event: str, follows: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The answer, and the phase that follows."""
+    async def scenario() -> None:
+        async with AsyncExitStack() as stack:
+            here = await reach(phase, stack)
+            assert here.phase.value == phase
+            yes = await meet(here, event, stack)
+            if phase == "starting" and event == "SIGTERM":
+                assert here.drain_begun.is_set()  # `run` drains once the start is over
+            else:
+                assert yes == (follows != "no")
+                assert here.phase.value == (phase if follows == "no" else follows)
+    monkeypatch.setattr(program, "STAY_S", 0.1 if phase == "closing" else 1.0)
+    monkeypatch.setenv("GW_CONFIG", "/nowhere")  # a reload is refused, and goes through its phase
+    asyncio.run(scenario())
+
+
+def test_the_table_has_all_phases() -> None:
+    """But the one that is over within a turn of the loop, and those of the end."""
+    rows = {phase for phase, _, _ in table()}
+    assert rows == {phase.value for phase in Phase} - {"reloading", "stopping", "stopped"}
+    seen: Any = {event for _, event, _ in table()}
+    assert len(seen) == 5
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,8 @@
 
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Scripted, document, job, site, until
-from weldquay.net import acceptor, program, registry, workers
+from weldquay import logic
+from weldquay.net import acceptor, exchange, program, registry, workers
 from weldquay.net.workers import MOST_IDLE, Connection, Worker
 
 Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
@@ -298,6 +299,30 @@
     play(scenario())
 
 
+def test_workers_that_are_gone_do_not_add_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ids that change for years: beyond a number those that hold nothing are forgotten, but for bans."""
+    async def scenario() -> None:
+        async with site() as here:
+            meeting, first = here.program.exchange, here.workers[0]
+            await until(lambda: meeting.listed)
+            for number in range(30):
+                here.discovery.members[f"old{number}"] = {
+                    **here.discovery.members["w0"], "id": f"old{number}", "phase": "SERVING"}
+                await here.discovery.change(first, "SERVING")
+                await until(lambda: here.program.registry.revision == here.discovery.revision)
+                if number == 0:
+                    assert await here.operate("match-workers/old0/offline") == 200
+                del here.discovery.members[f"old{number}"]
+            await here.discovery.change(first, "SERVING")
+            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            known = here.program.workers.known, meeting.worker_numbers, meeting.dispatcher.workers
+            assert all(len(each) <= 8 for each in known) and meeting.knows("old0")
+            assert (await here.post()).body == b"TEXT"
+    monkeypatch.setattr(logic, "MOST_KEPT", 5)
+    monkeypatch.setattr(exchange, "MOST_KEPT", 5)
+    play(scenario())
+
+
 def test_a_connection_that_the_worker_closed_is_not_used_again() -> None:
     """A job written to it would count as one that may have run."""
     async def scenario() -> None:
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -55,7 +55,7 @@
 IDLE_BACK_NS = 10 * SECOND_NS  # a learnt idle limit doubles after this long without a failure
 ZONE_LEARN = 0.1  # weight of a new report in the mean load of its zone: some seconds of a quiet dispatcher
 FAR_LOAD = 1.0  # jobs that a near worker may hold more than a far one where crossing has a price
-MOST_TURNED_AWAY = 1000  # jobs remembered for their retries: some seconds of a heavy overload
+MOST_KEPT = 1000  # jobs remembered for their retries (seconds of overload); workers, those that are gone too
 OWN = {"entry", "live", "report", "own", "drag", "probe_out", "used_ns"}  # not told to a later process
 LEARN = 0.05  # weight of a new sample in learnt means
 
@@ -216,8 +216,7 @@
         self.near: list[Worker] = []
         self.banned: set[int] = set()  # by operators
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
-        self.judged_ns = 0
-        self.awake_ns = -1  # when the next look at time alone is due; -1: not asked for
+        self.judged_ns, self.awake_ns = 0, -1  # awake_ns: when the next look at time alone is due; -1: never
         self.usual_load: dict[int, float] = {}  # by zone: mean of the loads told lately
         self.usual_size = FIRST_SLOTS
         self.probes_left = 0.0  # probes that the traffic so far has paid for
@@ -320,6 +319,9 @@
         self._sort()
 
     def _sort(self) -> None:
+        if len(self.workers) > MOST_KEPT:  # ids that change for years must not add up
+            self.workers = {number: worker for number, worker in self.workers.items()
+                            if worker.live or worker.entry.state is not WorkerState.GONE}
         self.ready = [worker for number, worker in self.workers.items()
                       if worker.entry.state is WorkerState.READY and number not in self.banned]
         self.near = [worker for worker in self.ready if worker.entry.zone == self.settings.zone]
@@ -367,7 +369,7 @@
         harmless = not job.rejected and (job.rules.effect is Effect.SAFE or not (job.risky or job.live))
         self._close(job.request.request)
         self.turned_away[_likeness(job.request)] = job.born_ns
-        if len(self.turned_away) > MOST_TURNED_AWAY:
+        if len(self.turned_away) > MOST_KEPT:
             del self.turned_away[next(iter(self.turned_away))]
         wait_ns = min(int(self.interval_ns), self.settings.max_retry_after_ns)
         self.out.append(Refuse(job.request.request, wait_ns) if harmless else Fail(job.request.request))
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -16,7 +16,7 @@
 from typing import Any, Protocol
 
 from weldquay import interface as api
-from weldquay.logic import Dispatcher
+from weldquay.logic import MOST_KEPT, Dispatcher
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.messages import CallBack, Figures, Member, MemberList
@@ -105,6 +105,9 @@
     def ban(self, worker_id: str, on: bool) -> None:
         """Send no new job to a worker any more, or do so again."""
 
+    def forget(self, worker_id: str) -> None:
+        """Drop what is known of a worker that has long gone."""
+
     def is_telling(self, call: Call) -> bool:
         """True while a worker is being sent a call, or told that nobody waits for it."""
 
@@ -139,11 +142,11 @@
         self.calls: dict[int, Call] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.at_worker: dict[tuple[str, str], Attempt] = {}  # by the call's id and the worker's
-        self.last_call = 0
+        self.last_call = self.last_worker = 0
         self.worker_numbers: dict[str, int] = {}
         self.worker_names: dict[int, str] = {}
         self.bans: set[str] = set()  # workers that operators took out
-        self.listed = False  # a whole list has come that names workers
+        self.listed = False  # discovery has told which workers there are
         self.zones = _numbers(config.zones)
         self.kinds = _numbers(config.kinds)
 
@@ -296,23 +299,33 @@
     ) -> None:
         """Tell a probe's result."""
         self.counters.add(f"probes_{outcome.value}")
-        self._tell(api.ProbeEnded(self.worker_numbers[worker_id], outcome, latency_ns, load))
+        if (number := self.worker_numbers.get(worker_id)) is not None:
+            self._tell(api.ProbeEnded(number, outcome, latency_ns, load))
 
     # --- the registry's side ---
 
     def follow(self, told: MemberList, kind: api.ListKind) -> None:
         """Take in the list, or changes of it."""
         self.counters.add(f"lists_{kind.value}")
-        self.listed = self.listed or (kind is not api.ListKind.CACHED and bool(told.members))
+        self._forget()
         for member in told.members:
             self._number(member.id)
         self.workers.follow(told)
         self._tell(api.Membership(kind, tuple(self._entry(member) for member in told.members)))
 
+    def _forget(self) -> None:
+        """Guard against ids that change for years: what the decisions have forgotten goes here too."""
+        if len(self.worker_numbers) > MOST_KEPT and not self.events:
+            for worker_id, number in list(self.worker_numbers.items()):
+                if number not in self.dispatcher.workers and worker_id not in self.bans:
+                    del self.worker_numbers[worker_id], self.worker_names[number]
+                    self.workers.forget(worker_id)
+
     def _number(self, worker_id: str) -> int:
         """The number of a worker, a new one where it has none."""
         if worker_id not in self.worker_numbers:
-            number = len(self.worker_numbers) + 1
+            self.last_worker += 1
+            number = self.last_worker
             self.worker_numbers[worker_id], self.worker_names[number] = number, worker_id
         return self.worker_numbers[worker_id]
 
@@ -382,6 +395,10 @@
             begun_ns))
         return call
 
+    def list_told(self) -> None:
+        """Discovery answers a watch: the list that is known is as new as it tells."""
+        self.listed = self.listed or bool(self.worker_numbers)
+
     def list_failed(self) -> None:
         """A call to discovery failed, or the watch has ended."""
         self.counters.add("lists_failed")
--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -28,7 +28,7 @@
 ASK_S = 1.5  # an older process that does not answer by then is left out
 TAKE_S = 1.5  # nor is it waited for any longer once this one is ready
 AGAIN_S = 0.01  # the system has too many descriptors on their way
-IDS = 500  # in one message
+IDS = 400  # or members, in one message
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -305,6 +305,15 @@
         str(told.get("flavor", "")), int(cell), state, float(weight), int(since))
 
 
+def member_line(member: Member) -> dict[str, Any]:
+    """A member in discovery's form."""
+    phases = {state: phase for phase, state in _STATES.items()}
+    return {
+        "id": member.id, "host_port": f"{member.host}:{member.port}", "locality": member.zone,
+        "flavor": member.kind, "cell": member.cell, "phase": phases[member.state], "size": member.weight,
+        "up_since_ms": member.up_since_ms}
+
+
 def job_headers(call: str, job: Job, time_left_ns: int, host: str) -> list[tuple[bytes, bytes]]:
     """The headers of a job on its way to a worker."""
     headers = [
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Iterable
 from contextlib import suppress
+from dataclasses import replace
 from enum import Enum
 from functools import partial
 from typing import Any
@@ -21,7 +22,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
 from weldquay.net.handover import IDS, Handover, Message
-from weldquay.net.messages import MessageError, callback
+from weldquay.net.messages import MessageError, callback, member_line, member_list
 from weldquay.net.operators import Operators
 from weldquay.net.registry import Registry
 from weldquay.net.tasks import Tasks
@@ -70,6 +71,7 @@
         self.reload_wanted = asyncio.Event()
         self.tasks = Tasks()
         self.bans = Bans(config.name)
+        self.inherited: list[Message] = []  # the older process's list
         self.others = 0  # clients' connections at the older process
         self.before = Phase.STARTING  # the phase in which a newer process took over
         self.begun = time.monotonic()
@@ -95,6 +97,8 @@
         await self.operators.listen()
         self.handover = Handover(self.config.name, self.counters, self)
         offered = await self.handover.ask()
+        if self.inherited:
+            self._inherit_list()
         await self.acceptor.listen(-1 if offered is None else offered.file)
         self.acceptor.pass_back = partial(self.handover.send, "call-back")
         exchange.start(self.workers, self.registry)
@@ -109,6 +113,17 @@
             self.out_of_service()
         self.handover.listen()
 
+    def _inherit_list(self) -> None:
+        """Begin with the older process's list, which is newer than what the file holds."""
+        told = self.inherited[0].told
+        # Revisions of another discovery count otherwise: from 0 on it tells the whole list.
+        revision = told["revision"] if told["discovery"] == list(self.config.discovery) else 0
+        lines = [line for message in self.inherited for line in message.told["members"]]
+        self.config = replace(self.config, known=member_list(
+            {"revision": revision, "complete": True, "members": lines}))
+        self.registry.revision = revision
+        self.exchange.config = self.config
+
     async def _take_over(self, offered: Message) -> None:
         """Take an older process's place, once the list of workers has come, or has not for long."""
         self.workers.limit(NEWER_PART)
@@ -128,6 +143,11 @@
             return None
         self.acceptor.limit(NEWER_FILES)
         self.workers.limit(1 - NEWER_PART)
+        members = self.workers.members()
+        for at in range(0, len(members), IDS) if self.exchange.listed else ():
+            self.handover.send(
+                "members", revision=self.registry.revision, discovery=self.registry.config.discovery,
+                members=[member_line(each) for each in members[at:at + IDS]])
         told = {"bans": sorted(self.exchange.bans), "out": self.phase is Phase.OUT_OF_SERVICE}
         return os.dup(self.acceptor.listener.fileno()), told
 
@@ -163,6 +183,8 @@
             case "worker":
                 self.workers.learn(message.told["id"], *message.told["at"])
                 self.exchange.recall(message.told["id"], message.told["memory"])
+            case "members":
+                self.inherited.append(message)
             case "open":
                 self.acceptor.elsewhere.update(message.told["ids"])
             case "client" if message.file < 0:  # there was no descriptor left for it
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -71,6 +71,8 @@
                         http.receive_data(await reader.read(READ_SIZE))
                 elif isinstance(event, h11.Response) and event.status_code != 200:
                     raise MessageError(f"it answered {event.status_code}")
+                elif isinstance(event, h11.Response):
+                    self.exchange.list_told()
                 elif isinstance(event, h11.Data):
                     lines += event.data
                     if len(lines) > MAX_LINE:
@@ -88,3 +90,4 @@
             told = members(line)
             self.revision = told.revision
             self.exchange.follow(told, api.ListKind.FULL if told.complete else api.ListKind.DELTA)
+        self.exchange.list_told()
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -198,7 +198,9 @@
         self._tell_given_up(attempt)
 
     def _tell_given_up(self, attempt: Attempt) -> None:
-        worker, call = self.known[attempt.worker_id], attempt.call.id
+        if (worker := self.known.get(attempt.worker_id)) is None:
+            return  # forgotten: it has long gone
+        call = attempt.call.id
         task = self.tasks.start(self._delete(worker, call), f"giving up of {call}")
         worker.giving_up[call] = task
 
@@ -213,11 +215,21 @@
             worker.banned = on
             self.close_idle(worker_id)
 
+    def forget(self, worker_id: str) -> None:
+        """Drop what is known of a worker that has long gone."""
+        if worker_id in self.known:
+            self.close_idle(worker_id)
+            del self.known[worker_id]
+
     def is_telling(self, call: Call) -> bool:
         """True while a worker is being sent a call, or told that nobody waits for it."""
         return any(each.call is call for each in self.sending) or any(
             call.id in worker.giving_up for worker in self.known.values())
 
+    def members(self) -> list[Member]:
+        """The workers that the list names."""
+        return [each.member for each in self.known.values() if each.member.state is not api.WorkerState.GONE]
+
     def address(self, worker_id: str) -> tuple[str, int]:
         """Where a worker listens."""
         return self.known[worker_id].member.host, self.known[worker_id].member.port
