--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -173,7 +173,7 @@
 
     async def _tell_held(self) -> None:
         """Tell the newer process how many connections it has to leave room for."""
-        while self.phase is not Phase.SERVING:
+        while self.handover.link is not None:
             await asyncio.sleep(HELD_S)
             self.handover.send("held", clients=len(self.acceptor.connections))
 
@@ -190,7 +190,8 @@
             case "client" if message.file < 0:  # there was no descriptor left for it
                 self.counters.add("handover_without_descriptor")
             case "client":
-                self._leave_room(self.others - 1)
+                if self.others:
+                    self._leave_room(self.others - 1)
                 self.acceptor.adopt(Passed(message.file, message.data, **message.told))
             case "held":
                 self._leave_room(message.told["clients"])
