Begin with the older process's configuration where the file is broken at an upgrade

Seen on rereading: a second start while the file is empty or broken ended with status 2, which is a crash in an upgrade. At fault: __main__, which knew the file alone. Also: a process that only looks at the socket no longer stands before one that asks.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
+import signal
 import socket
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
 from example.toy import Message, read_message
-from tests.site import Site, job, site, until
+from tests.site import Site, document, job, site, until
 from weldquay.net import handover, program
-from weldquay.net.bans import place
 from weldquay.net.config import Address
 from weldquay.net.handover import Link
+from weldquay.net.kept import Kept, place
 from weldquay.net.program import Phase, Program
 
 NAME = "toy-dispatcher"
@@ -189,6 +193,16 @@
     asyncio.run(scenario())
 
 
+def test_one_that_only_looks_does_not_stand_before_one_that_asks() -> None:
+    """Both wait at the socket when the older process gets to it."""
+    async def scenario() -> None:
+        async with site() as here:
+            looking = handover.answers(NAME)
+            async with newer(here) as second:
+                assert looking and here.program.phase is Phase.HANDED_OVER and second.ready()
+    asyncio.run(scenario())
+
+
 def test_out_of_service_is_passed_on() -> None:
     """The drain that operators asked for holds until they end it."""
     async def scenario() -> None:
@@ -262,3 +276,37 @@
         await lost.wait()
         assert [each.told["number"] for each in got] == list(range(9))
     asyncio.run(scenario())
+
+
+def test_two_processes_as_run_starts_them(tmp_path: Path) -> None:
+    """The newer one's file is broken meanwhile: it begins with the older one's; both end with status 0."""
+    async def start(mgmt: int) -> tuple[asyncio.subprocess.Process, asyncio.StreamReader]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "weldquay", stderr=asyncio.subprocess.PIPE, env={
+                **os.environ, "GW_CONFIG": str(path), "GW_NAME": NAME, "GW_MGMT": f"127.0.0.1:{mgmt}"})
+        assert process.stderr is not None
+        return process, process.stderr
+
+    async def until_told(lines: asyncio.StreamReader, what: bytes) -> None:
+        while what not in (line := await lines.readline()):
+            assert line, what
+
+    async def scenario() -> None:
+        path.write_text(json.dumps({**document(), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}))
+        async with asyncio.timeout(20):
+            older, first = await start(0)
+            await until_told(first, b"is serving")
+            while not Kept(NAME, ".config").path.exists():
+                await asyncio.sleep(0.01)
+            path.write_text("{")
+            newer, second = await start(0)
+            await until_told(second, b"configuration is taken over")
+            await until_told(first, b"is handed over")
+            await until_told(second, b"is serving")
+            for process, lines in ((older, first), (newer, second)):
+                process.send_signal(signal.SIGTERM)
+                await until_told(lines, b"is stopped")
+                await lines.read()
+                assert await process.wait() == 0
+    path = tmp_path / "config.json"
+    asyncio.run(scenario())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,7 +9,7 @@
 from example.toy import read_message, request
 from tests.site import job, site, until
 from weldquay.net import operators, program
-from weldquay.net.bans import Bans
+from weldquay.net.kept import Bans
 from weldquay.net.workers import Connection, Worker
 
 
@@ -119,5 +119,5 @@
     bans.write({"w1", "w0"})
     assert bans.read() == {"w0", "w1"} and Bans("c").read() == set()
     for text in ("", "{", "{}", "[1]"):
-        bans.path.write_text(text)
+        bans.file.path.write_text(text)
         assert bans.read() == set()
--- a/weldquay/__main__.py
+++ b/weldquay/__main__.py
@@ -8,7 +8,9 @@
 import signal
 import sys
 
-from weldquay.net.config import ConfigError, load
+from weldquay.net.config import ConfigError, load, load_kept
+from weldquay.net.handover import answers
+from weldquay.net.kept import Kept
 from weldquay.net.program import Program
 
 
@@ -21,8 +23,14 @@
     try:
         config = load(os.environ)
     except ConfigError as error:
-        print(f"weldquay: {error}", file=sys.stderr)
-        return 2
+        # Guards against a file that is broken just when an upgrade starts.
+        name = os.environ.get("GW_NAME", "")
+        older = name and answers(name) and load_kept(os.environ, Kept(name, ".config").read())
+        if not older:
+            print(f"weldquay: {error}", file=sys.stderr)
+            return 2
+        logging.error("the older process's configuration is taken over, since %s", error)
+        config = older
     return asyncio.run(Program(config).run())
 
 
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -75,6 +75,14 @@
         raise ConfigError(" ".join(str(error).split())) from None
 
 
+def load_kept(environ: Mapping[str, str], document: object) -> Config | None:
+    """The configuration from a document that an older process kept; None where it cannot be had."""
+    try:
+        return read(environ, document) if isinstance(document, dict) else None
+    except (ValueError, MessageError):
+        return None
+
+
 def reload(environ: Mapping[str, str], running: Config) -> tuple[Config, list[str]]:
     """The running configuration with what may move, as the file has it now; and what needs a new start.
 
--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -18,8 +18,8 @@
 
 import ujson
 
-from weldquay.net.bans import place
 from weldquay.net.counters import Counters
+from weldquay.net.kept import place
 
 log = logging.getLogger(__name__)
 
@@ -137,6 +137,13 @@
         self.take(message)
 
 
+def answers(name: str) -> bool:
+    """True where an older process of this dispatcher listens."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+        sock.setblocking(False)
+        return sock.connect_ex(str(place(name, ".sock"))) == 0
+
+
 class Process(Protocol):
     """What the handover asks of this process."""
 
@@ -161,6 +168,7 @@
         self.door: socket.socket | None = None
         self.link: Link | None = None
         self.offered: Message | None = None
+        self.asked = False  # a newer process has the listener
         self.answered, self.taken, self.parted = asyncio.Event(), asyncio.Event(), asyncio.Event()
 
     # --- the newer process ---
@@ -217,10 +225,12 @@
             sock, _ = self.door.accept()
         except OSError:
             return
-        if self.link is not None:
+        if self.link is not None and self.asked:
             log.warning("a third process asks while another takes over: it is left to itself")
             sock.close()
             return
+        if self.link is not None:  # it only looked whether there is a process here
+            self.link.close()
         self.link = Link(sock, self._take, self._lost)
 
     async def part(self) -> None:
@@ -253,6 +263,7 @@
             case "ask":
                 offer = self.process.offer() if message.told.get("form") == FORM else None
                 if offer is not None:
+                    self.asked = True
                     self.send("offer", file=offer[0], **offer[1])
                 elif self.link is not None:
                     self.link.close()
@@ -273,7 +284,7 @@
                 self.process.take(message)
 
     def _lost(self, unsent: list[Message]) -> None:
-        self.link = None
+        self.link, self.asked = None, False
         self.answered.set()
         self.taken.set()
         self.parted.set()
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -17,11 +17,11 @@
 from typing import Any
 
 from weldquay.net.acceptor import Acceptor, Passed
-from weldquay.net.bans import Bans
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
 from weldquay.net.handover import IDS, Handover, Message
+from weldquay.net.kept import Bans, Kept
 from weldquay.net.messages import MessageError, callback, member_line, member_list
 from weldquay.net.operators import Operators
 from weldquay.net.registry import Registry
@@ -70,7 +70,7 @@
         self.drain_begun = asyncio.Event()
         self.reload_wanted = asyncio.Event()
         self.tasks = Tasks()
-        self.bans = Bans(config.name)
+        self.bans, self.kept = Bans(config.name), Kept(config.name, ".config")
         self.inherited: list[Message] = []  # the older process's list
         self.others = 0  # clients' connections at the older process
         self.before = Phase.STARTING  # the phase in which a newer process took over
@@ -112,6 +112,7 @@
         if offered is not None and offered.told["out"]:
             self.out_of_service()
         self.handover.listen()
+        self.kept.write(self.config.document)
 
     def _inherit_list(self) -> None:
         """Begin with the older process's list, which is newer than what the file holds."""
@@ -346,6 +347,7 @@
                 log.error("the configuration stays as it is: %s", error)
             else:
                 self.counters.add("reloads")
+                self.kept.write(self.config.document)
                 self.registry.move(self.config)
                 for part in (self.exchange, self.acceptor, self.workers):
                     part.retune(self.config)
