Carry the moment of an operators' drain over an upgrade; a longer queue for operators

Seen on rereading: a newer process took an operators' drain over from its beginning, so that 4 s after the call jobs under 2 s old could be there; and the operators' listener let the system keep 8 connections waiting, beyond which a caller comes again only after a second.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -210,6 +210,7 @@
             await here.operate("out-of-service")
             async with newer(here) as second:
                 assert second.ready() and await here.health() == 503
+                assert second.out_since == here.program.out_since  # its time goes on
                 assert second.in_service() and await here.health() == 200
     asyncio.run(scenario())
 
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from typing import Protocol
 
 import h11
@@ -17,6 +18,7 @@
 
 READ_SIZE = 4 * 1024
 MAX_HEAD = 4 * 1024
+WAITING = 64  # connections in the system's queue; beyond that they come again only after a second
 MOST_CALLERS = 8  # connections; beyond that the one that has waited longest makes room
 CALL_S = 2.0  # from connecting to the last byte of the answer
 
@@ -49,8 +51,11 @@
     async def listen(self) -> None:
         """Open the listener where an address is told."""
         if self.address is not None:
+            family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
+            sock = socket.create_server(self.address, family=family)
             self.server = await asyncio.start_server(
-                self._accept, *self.address, limit=READ_SIZE, backlog=MOST_CALLERS)
+                self._accept, sock=sock, limit=READ_SIZE, backlog=MOST_CALLERS)
+            sock.listen(WAITING)  # asyncio takes as many in one turn as its backlog says
 
     @property
     def port(self) -> int:
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -74,7 +74,7 @@
         self.inherited: list[Message] = []  # the older process's list
         self.others = 0  # clients' connections at the older process
         self.before = Phase.STARTING  # the phase in which a newer process took over
-        self.begun = time.monotonic()
+        self.begun = self.out_since = time.monotonic()
         self.emptying: asyncio.Task[None] | None = None
         self.collection_begun = 0.0
 
@@ -109,8 +109,8 @@
             await self._take_over(offered)
         await self.acceptor.accept()
         self._enter(Phase.SERVING)
-        if offered is not None and offered.told["out"]:
-            self.out_of_service()
+        if offered is not None and offered.told["out_since"] is not None:
+            self.out_of_service(offered.told["out_since"])
         self.handover.listen()
         self.kept.write(self.config.document)
 
@@ -149,7 +149,8 @@
             self.handover.send(
                 "members", revision=self.registry.revision, discovery=self.registry.config.discovery,
                 members=[member_line(each) for each in members[at:at + IDS]])
-        told = {"bans": sorted(self.exchange.bans), "out": self.phase is Phase.OUT_OF_SERVICE}
+        told = {"bans": sorted(self.exchange.bans),
+                "out_since": self.out_since if self.phase is Phase.OUT_OF_SERVICE else None}
         return os.dup(self.acceptor.listener.fileno()), told
 
     def hand_over(self) -> None:
@@ -227,7 +228,7 @@
             self.tasks.start(self.acceptor.accept(), "accepting again")
             self._enter(Phase.SERVING)
             if self.before is Phase.OUT_OF_SERVICE:
-                self.out_of_service()
+                self.out_of_service(self.out_since)
 
     def ready(self) -> bool:
         """True once calls can be served here: the list has come, or is late, and this is not about to end."""
@@ -236,9 +237,13 @@
         told = self.exchange.listed or time.monotonic() - self.begun > LIST_S
         return told and self.phase in (Phase.SERVING, Phase.OUT_OF_SERVICE)
 
-    def out_of_service(self) -> bool:
-        """Empty the dispatcher, for its operators; False where it is about to end."""
+    def out_of_service(self, since: float | None = None) -> bool:
+        """Empty the dispatcher, for its operators; False where it is about to end.
+
+        since: when that began, where an older process had begun it.
+        """
         if self.phase is Phase.SERVING:
+            self.out_since = time.monotonic() if since is None else since
             self._enter(Phase.OUT_OF_SERVICE)
             self.emptying = self.tasks.start(self._empty(), "emptying for the operators")
         return self.phase is Phase.OUT_OF_SERVICE
@@ -262,9 +267,9 @@
 
     async def _empty(self) -> None:
         """Have clients leave: those that rest first, then all."""
-        await asyncio.sleep(SEEN_S)
+        await asyncio.sleep(self.out_since + SEEN_S - time.monotonic())
         self.acceptor.begin_closing()
-        await asyncio.sleep(EMPTY_S - SEEN_S)
+        await asyncio.sleep(self.out_since + EMPTY_S - time.monotonic())
         self.acceptor.refusing = True
 
     def _stop_emptying(self) -> None:
