Let connections that make progress outlast silent ones where room is short

At fault: Acceptor._make_room closed the connection that had been reading for longest, which is a slow writer rather than one that has stopped. Now the one that has been without a byte for longest goes first.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -671,6 +671,27 @@
     play(scenario())
 
 
+def test_a_request_that_comes_in_pieces_outlives_a_silent_crowd() -> None:
+    """It came first, but those that have said nothing for longer make room before it."""
+    async def scenario() -> None:
+        async with site() as here:
+            here.program.acceptor.most_connections = 10
+            address = ("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection(*address)
+            crowd: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+            counts = here.program.counters.counts
+            for piece in (job()[at:at + 20] for at in range(0, len(job()), 20)):
+                writer.write(piece)
+                crowd += [await asyncio.open_connection(*address) for _ in range(5)]
+                while counts["client_connections"] <= len(crowd):
+                    await asyncio.sleep(0.01)
+            assert (await read_message(reader)).body == b"TEXT"
+            assert counts["evicted_reading"] > 10
+            for _, each in [*crowd, (reader, writer)]:
+                each.close()
+    play(scenario())
+
+
 def test_no_more_connections_are_accepted_at_once_than_can_be_counted() -> None:
     """Accepted before any was counted, a crowd took all descriptors, and asyncio paused for a second."""
     async def scenario() -> None:
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -37,7 +37,7 @@
 BYTES_EACH = 128 * 1024  # what a connection may hold at the most: a body, what is read ahead, its objects
 LEAST_CONNECTIONS = 8  # whatever another process holds
 BASE_MB = 20  # what the program holds without clients
-REQUEST_S = 2.0  # from a connection's or a request's first moment to its last byte; usual clients take 3 ms
+REQUEST_S = 2.6  # from a connection's or a request's first moment to its last byte; bad clients get 3 s
 SWEEP_S = 0.1
 PASS_S = 0.02  # how often a call in hand is looked at that is to be passed on
 LINGER_S = 1.0  # after a refused message the client has this long to read why
@@ -68,7 +68,7 @@
         self.refusing = False  # calls are refused
         self.retune(config)
         self.connections: dict[Connection, None] = {}
-        # By state, the longest there first.
+        # By state, the longest there first; of those that read, the longest without a byte.
         self.among: dict[State, dict[Connection, None]] = {state: {} for state in State}
         self.most_connections = self.full = min(
             config.sockets - config.sockets * 3 // 10 - RESERVE,
@@ -256,9 +256,8 @@
             now = time.monotonic()
             for state, limit_s in ((State.READING, REQUEST_S), (State.LEAVING, LINGER_S)):
                 for connection in list(self.among[state]):
-                    if now - connection.since < limit_s:
-                        break
-                    connection.out_of_time()
+                    if now - connection.since >= limit_s:
+                        connection.out_of_time()
 
 
 @dataclass(frozen=True, slots=True)
@@ -402,6 +401,8 @@
             if self.leaving or (not data and self.call is not None):
                 break
             self.heard = self.heard or bool(data)
+            if self.state is State.READING:  # what makes progress is not the first to make room
+                self.acceptor.among[State.READING][self] = self.acceptor.among[State.READING].pop(self)
             self.http.receive_data(data)
             if self.call is None:
                 self._advance()
