Do not ask a closed socket whether a request has come

Found on rereading: Connection.unread registers the socket's number with poll, which is -1 once the transport has closed and before the connection's own task has taken its end in. Making room then failed with a ValueError, and the new connection with it. Checked by a test that fails without the change.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -692,6 +692,27 @@
     play(scenario())
 
 
+def test_a_kept_connection_with_a_request_on_it_makes_no_room() -> None:
+    """Closed for room, its request was lost; one that has just been closed is not asked, and makes room."""
+    async def scenario() -> None:
+        async with site() as here:
+            taking = here.program.acceptor
+            reader, writer = await asyncio.open_connection("127.0.0.1", taking.port)
+            writer.write(job("c0"))
+            await read_message(reader)
+            await until(lambda: len(taking.connections) == 1)  # the call-back's has gone
+            (resting,) = taking.among[acceptor.State.RESTING]
+            writer.write(job("c1"))
+            await writer.drain()
+            assert resting.unread() and not taking._make_room()
+            assert (await read_message(reader)).body == b"TEXT"
+            resting.abort()
+            await asyncio.sleep(0)  # its socket is closed, its end not yet taken in
+            assert not resting.unread() and taking._make_room()
+            writer.close()
+    play(scenario())
+
+
 def test_no_more_connections_are_accepted_at_once_than_can_be_counted() -> None:
     """Accepted before any was counted, a crowd took all descriptors, and asyncio paused for a second."""
     async def scenario() -> None:
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -369,7 +369,9 @@
         self.writer.transport.abort()
 
     def unread(self) -> bool:
-        """True where something has come that was not taken in."""
+        """True where something has come that was not taken in; a closed socket must not be asked."""
+        if self.writer.is_closing():
+            return False
         poll = select.poll()
         poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
