--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -115,7 +115,7 @@
         done = self._do(call)
         self.counters.add(f"operators_{call.verb}" if done else "operators_refused")
         if call.verb != "ready":
-            log.info("operators: %s %s: %s", call.verb, call.worker, "yes" if done else "no")
+            log.info("operators: %s: %s", f"{call.verb} {call.worker}".strip(), "yes" if done else "no")
         status = 200 if done else 404 if call.worker else 503
         return last_answer(status, b"yes\n" if done else b"no\n")
 
