Give a worker that was put back the next job that suits it

At fault: _place, where nothing but the water-fill's draw brings work to them. Ruled out: the ban (lifted), the probe (ok), the cold budget (992 ms and more of work), the upgrade (other workers put back there were used).

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -509,3 +509,16 @@
     (new,) = sends(drive.step(api.Request(2, 1, 5 * SECOND)))
     assert finals(drive.end(new, Outcome.RESET))
     assert [send.request for send in sends(drive.end(old, Outcome.RESET))] == [1]
+
+
+def test_a_worker_that_was_put_back_has_the_next_job_that_suits() -> None:
+    """It stayed unused for 5 s, since a water-fill over many workers need not draw it."""
+    for seed in range(8):
+        drive = Drive(workers=6, seed=seed)
+        drive.step(api.Banned(6))
+        for worker in range(1, 6):
+            drive.report(worker, 9.0)
+        drive.step(api.Banned(6, False))
+        drive.report(6, 2.0)
+        (send,) = sends(drive.step(api.Request(1, 0, 5 * SECOND, hint_ns=50 * MS)))
+        assert send.worker == 6 and not drive.dispatcher.back
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -215,6 +215,7 @@
         self.ready: list[Worker] = []  # listed ready; those of the own zone among them
         self.near: list[Worker] = []
         self.banned: set[int] = set()  # by operators
+        self.back: set[int] = set()  # put back by them, and not used since
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
         self.judged_ns, self.awake_ns = 0, -1  # awake_ns: when the next look at time alone is due; -1: never
         self.usual_load: dict[int, float] = {}  # by zone: mean of the loads told lately
@@ -261,6 +262,7 @@
         """Operators take a worker out, whatever the list says, or put it back: cold, and tried soon."""
         worker = self.workers.get(event.worker)
         (self.banned.add if event.on else self.banned.discard)(event.worker)
+        (self.back.discard if event.on else self.back.add)(event.worker)
         if worker is not None and not event.on:
             worker.renew(self.now_ns)
             worker.back_ns, worker.probe_out = self.now_ns, self.settings.may_probe
@@ -446,10 +448,7 @@
                 self._answer(job)
 
     def _learn(self, attempt: Attempt, latency_ns: int) -> None:
-        """Learn the running time of the class and the speed of the machine kind; waiting is left out if told.
-
-        Running times differ too much to learn single workers' by them; logarithms tame the few huge jobs.
-        """
+        """Learn running times of the class and speeds of the kind; logarithms tame the few huge jobs."""
         number, kind = attempt.job.request.job_class, attempt.worker.entry.kind
         run_ns = max(1, self.now_ns - attempt.started_ns if attempt.started_ns else latency_ns)
         self.run_ns[number] += LEARN * (run_ns - self.run_ns[number])
@@ -556,8 +555,7 @@
     def _load(self, worker: Worker) -> float:
         """Own pushes since the report minus its free slots; never fewer than the own attempts still out.
 
-        A worker without current news counts as the mean of its zone, own attempts besides.  Guards against
-        workers that answer but never report: as empty ones they would draw jobs from all at once.
+        One without current news counts as the mean of its zone: as empty ones such would draw all jobs.
         """
         known = worker.own - round(worker.size if worker.size >= 0.5 else self.usual_size)
         if worker.free is None or self.now_ns - worker.report_ns > LAPSE_NS:
@@ -607,10 +605,7 @@
         return [row for row in rows if row[1] + job.request.slots <= likely and self._suits(job, row[0])]
 
     def _look(self, job: Job) -> bool:
-        """Probe a few workers without fresh news for the job; True where it should wait.
-
-        Where crossing zones has a price the first look is at near workers, unless another zone is emptier.
-        """
+        """Probe a few workers without fresh news, near ones first where that pays; True: the job waits."""
         now, zones = self.now_ns, self.usual_load
         if job.looks:
             if now - job.looked_ns < LOOK_WAIT_NS and any(worker.probe_out for worker in job.looking):
@@ -649,7 +644,9 @@
                   and (worker.free_memory is None
                        or worker.free_memory - worker.changed_memory >= job.request.memory)]
         m = rules.dispatchers * self._rate() * self.interval_ns
-        if rules.may_probe and rules.reports_in_probes:
+        if back := [row for row in choice if row[0].entry.worker in self.back]:
+            choice = back  # guards against a worker that stays unused, as others are nearer or faster
+        elif rules.may_probe and rules.reports_in_probes:
             fresh = [row for row in choice if now - row[0].report_ns <= self.interval_ns]
             if len(fresh) < (1 if job.looks else LOOK_ENOUGH) and self._look(job):
                 return False
@@ -673,6 +670,7 @@
             self.out.append(CloseIdle(worker.entry.worker))
             idle_ns = 0
         self._book(Attempt(job, job.attempts, worker, now, idle_ns))
+        self.back.discard(worker.entry.worker)
         worker.note_change(now, slots, job.request.memory)
         if worker.started_ns and self.now_ns - worker.started_ns < self.settings.warm_after_ns:
             worker.pushed.append((self.now_ns, self._expected_ns(job)))
