Give each dispatcher its own subset of workers, and spread the fleet's asks of discovery

Seen: with forty dispatchers 0.29 of the jobs waited over 0.1 s in quiet seconds, on news that all acted on (_look drew from all workers of the zone). Full jitter within the same bounds was no better, so it is the sum of asks. Changed: weldquay/fleet/subset.py deals workers out (deterministic subsetting, all of them where dispatchers are few); weldquay/fleet/pace.py draws waits whose bound grows with dispatchers and failures, and spreads the first asks. Refusals' Retry-After is spread. A line that is not whole in 10 s ends a watch; a torn known is left out; settings.me out of range is an error.

--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -17,7 +17,7 @@
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
 LEAST_NS = 800_000_000  # work worth a turn: one job of nearly any class, or a few short ones
 PART = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
-TURN_PART = 0.45  # the same where turns are taken: a dispatcher knows less of a worker that it meets seldom
+TURN_PART = 0.65  # the same where turns are taken: a dispatcher knows less of a worker that it meets seldom
 _MASK = 2**64 - 1
 
 
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -31,6 +31,8 @@
     Event, Fail, Group, JobClass, ListKind, LoadReport, Membership, Outcome, Probe, ProbeEnded, Recalled,
     HoldEnded, Refuse, Request, Retuned, Send, SetTimer, Settings, StreamBegun, Watch, WorkerEntry,
     WorkerState)
+from weldquay.fleet.pace import Backoff, spread_ns
+from weldquay.fleet.subset import subset
 from weldquay.fleet.turns import Cold, Rule, room
 from weldquay.learnt.idle import IdleLimit
 from weldquay.learnt.interval import Interval
@@ -58,9 +60,8 @@
 SLOW = math.log(2.5)  # a worker is left out where its jobs take so many times what its kind needs for them
 PROBE_STRIKES = 2  # probes failed in a row before they count: one may be lost or wait behind a job
 TRIAL_NS, TRIAL_MAX_NS = SECOND_NS, 8 * SECOND_NS  # a suspect worker is tried again after this, doubling
-ASK_AGAIN_NS = SECOND_NS  # first wait before a failed list call is made again, doubling
 ZONE_LEARN = 0.1  # weight of a new report in the mean load of its zone: some seconds of a quiet dispatcher
-FAR_LOAD = 1.0  # jobs that a near worker may hold more than a far one where crossing has a price
+FAR_LOAD = 2.0  # jobs that a near worker may hold more than a far one where crossing has a price
 SEEK_NS, SEEK_AMONG = 10_000_000, 16  # how often room is sought for a job, and among how many workers
 MOST_KEPT = 1000  # jobs remembered for their retries (seconds of overload); workers, those that are gone too
 OWN = {"entry", "live", "report", "own", "drag", "probe_out", "used_ns"}  # not told to a later process
@@ -231,8 +232,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.due: list[tuple[int, int]] = []  # heap of (when the answer is due, request)
         self.out: list[Action] = []
-        self.ready: list[Worker] = []  # listed ready; those of the own zone among them
-        self.near: list[Worker] = []
+        self.ready: list[Worker] = []  # listed ready; those among them that this dispatcher turns to first
+        self.home: list[Worker] = []
         self.young: list[Worker] = []  # of the ready ones those that had started lately when the list changed
         self.banned: set[int] = set()  # by operators
         self.back: set[int] = set()  # put back by them, and not used since
@@ -246,8 +247,8 @@
         self.idle = IdleLimit(settings.conn_idle_ns)
         self.push_rate, self.push_rate_ns = 0.0, 0  # pushes a nanosecond, decayed
         self.interval = Interval()  # how often workers refresh their reports
-        self.ask_ns = 0 if settings.asks_list else -1  # when to subscribe; -1: nothing to do
-        self.ask_wait_ns, self.end_ns = ASK_AGAIN_NS, math.inf  # end_ns: when this dispatcher ends
+        self.ask_ns, self.end_ns = -1, math.inf  # when to subscribe (-1: not); when this dispatcher ends
+        self.backoff = Backoff(self.random, settings.dispatchers)
         self.takes: dict[type, Callable[[Any], object]] = {
             Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
             ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune, Banned: self._ban,
@@ -256,10 +257,13 @@
 
     def step(self, now_ns: int, events: list[Event]) -> list[Action]:
         """Take in events that came at now_ns and return what to do about them."""
-        self.now_ns, self.out, self.begun_ns = now_ns, [], self.begun_ns or now_ns
+        first, self.now_ns, self.out = not self.begun_ns, now_ns, []
+        self.begun_ns = self.begun_ns or now_ns
         for event in events:
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
+        if first and self.settings.asks_list:
+            self._ask_in(self.backoff.first_ns() if self.ready else 0)
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
         return self.out
 
@@ -318,11 +322,9 @@
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
         if event.kind is ListKind.FAILED:
-            self.ask_ns = self.now_ns + self.ask_wait_ns
-            self.out.append(SetTimer(self.ask_wait_ns, 3))
-            self.ask_wait_ns = min(self.ask_wait_ns * 2, max(ASK_AGAIN_NS, self.settings.ask_within_ns // 3))
+            self._ask_in(self.backoff.wait_ns(self.settings.ask_within_ns))
             return
-        self.ask_wait_ns = ASK_AGAIN_NS
+        self.backoff.clear()
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
             restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
@@ -338,6 +340,10 @@
                     self._rescue(worker)
         self._sort()
 
+    def _ask_in(self, wait_ns: int) -> None:
+        self.ask_ns = self.now_ns + wait_ns
+        self.out += [SetTimer(wait_ns, 3)] * (wait_ns > 0)
+
     def _sort(self) -> None:
         if len(self.workers) > MOST_KEPT:  # ids that change for years must not add up
             self.workers = {number: worker for number, worker in self.workers.items()
@@ -346,7 +352,8 @@
                       if worker.entry.state is WorkerState.READY and number not in self.banned]
         self.young = [worker for worker in self.ready if worker.started_ns
                       and self.now_ns - worker.started_ns < self.settings.warm_after_ns]
-        self.near = [worker for worker in self.ready if worker.entry.zone == self.settings.zone]
+        at = subset([each.entry.common for each in self.ready], self.settings.me, self.settings.dispatchers)
+        self.home = [self.ready[place] for place in at]
 
     # --- jobs ---
 
@@ -398,7 +405,7 @@
         self.turned_away[_likeness(job.request)] = job.born_ns
         if len(self.turned_away) > MOST_KEPT:
             del self.turned_away[next(iter(self.turned_away))]
-        wait_ns = min(int(self.interval.ns), self.settings.max_retry_after_ns)
+        wait_ns = min(spread_ns(self.random, self.interval.ns), self.settings.max_retry_after_ns)
         self.out.append(Refuse(job.request.request, wait_ns) if harmless else Fail(job.request.request))
 
     def _call_off(self, attempt: Attempt) -> None:
@@ -558,16 +565,15 @@
 
     def _cold_room(self, worker: Worker) -> float:
         """Work that may still go to a worker: without limit once warm, else this dispatcher's part."""
-        rules, begun_ns = self.settings, worker.started_ns
-        age_ns = self.now_ns - begun_ns
-        if begun_ns == 0 or age_ns >= rules.warm_after_ns:
+        rules, age_ns = self.settings, self.now_ns - worker.started_ns
+        if worker.started_ns == 0 or age_ns >= rules.warm_after_ns:
             return math.inf
         if self.now_ns != worker.cold_ns:
             slots = worker.size if worker.size >= 0.5 else self.usual_size
             common = worker.entry.common if worker.back_ns <= worker.entry.started_ns else None
             worker.cold_ns, worker.cold_room = self.now_ns, room(self.rule, Cold(
                 common, age_ns, slots / self.running.pace(worker.entry.kind), rules.me, rules.dispatchers,
-                self.begun_ns - begun_ns), worker.pushed)
+                self.begun_ns - worker.started_ns), worker.pushed)
         return worker.cold_room
 
     def _load(self, worker: Worker) -> float:
@@ -616,8 +622,8 @@
 
     def _told(self) -> list[Worker]:
         """The workers in health whose news has not lapsed: few at a dispatcher with little traffic."""
-        while self.news and self.now_ns - next(iter(self.news.values())).report_ns > LAPSE_NS:
-            del self.news[next(iter(self.news))]
+        while self.news and self.now_ns - self.news[first := next(iter(self.news))].report_ns > LAPSE_NS:
+            del self.news[first]
         told = [worker for worker in self.news.values() if worker.free is not None and self._healthy(worker)]
         quick = [worker for worker in told if self._drag(worker) < SLOW]
         return quick if 2 * len(quick) >= len(told) else told  # where all are slow, none is left out
@@ -633,23 +639,19 @@
         return [row for row in rows if row[1] + job.request.slots <= likely and self._suits(job, row[0])]
 
     def _look(self, job: Job) -> bool:
-        """Probe a few workers without fresh news, near ones first where that pays; True: the job waits."""
-        now, zones = self.now_ns, self.usual_load
+        """Probe a few workers without fresh news, those of its own subset first; True: the job waits."""
+        now = self.now_ns
         if job.looks:
             if now - job.looked_ns < LOOK_WAIT_NS and any(worker.probe_out for worker in job.looking):
                 return True
             if job.looks > 1 and now - job.looked_ns < FRESH_NS:
                 return False
         count = int(min(LOOK_MOST, self.probes_left))
-        pool = self.ready
-        if self.settings.cross_zone_price > 0 and not job.looks and len(self.near) >= count and (
-                zones.get(self.settings.zone, 0.0) <= min(zones.values(), default=0.0) + FAR_LOAD):
-            pool = self.near
+        pool = self.ready if job.looks else self.home
         if job.rules.kind != -1 or job.risky is not None:
             pool = [worker for worker in self.ready if self._suits(job, worker)]
         some = self.random.sample(pool, min(len(pool), 3 * count))
-        some = [worker for worker in self.young if worker not in some and self._suits(job, worker)
-                and self._cold_room(worker) < math.inf] + some
+        some = [each for each in self.young if each not in some and self._cold_room(each) < math.inf] + some
         asked = [worker for worker in some
                  if now - worker.report_ns > FRESH_NS
                  and now >= max(worker.next_probe_ns, worker.rest_ns, worker.suspect * worker.trial_ns)
@@ -681,7 +683,7 @@
             fresh = [row for row in choice if now - row[0].report_ns <= FRESH_NS]
             if not turns and len(fresh) < (1 if job.looks else LOOK_ENOUGH) and self._look(job):
                 return False
-            fresh = turns or fresh
+            fresh = turns or [row for row in fresh if row[0] in self.home] or fresh
             if choice:  # the others look at other workers: only a part of their jobs comes to these
                 m *= min(1.0, len(told) * len(fresh or choice) / (len(choice) * len(self.ready)))
             choice = fresh or choice or self._untold(job)
@@ -689,13 +691,11 @@
             choice += self._untold(job)
         if not choice:
             return False
-        m = max(MIN_ARRIVALS, m)
         rates = [1 / self.running.pace(worker.entry.kind) for worker, _ in choice]
         loads, rates = [], [rate * len(rates) / sum(rates) for rate in rates]
-        for (worker, load), rate in zip(choice, rates, strict=True):
+        for worker, load in choice:
             far = rules.cross_zone_price > 0 and worker.entry.zone != rules.zone
-            held = load + round(worker.size if worker.size >= 0.5 else self.usual_size)
-            loads.append(held + (FAR_LOAD * m * rate if far else 0.0))
+            loads.append(load + round(worker.size or self.usual_size) + FAR_LOAD * far)
         shares = water_fill(loads, m, rates)
         self._push(job, self.random.choices([row[0] for row in choice], weights=shares)[0])
         return True
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
@@ -25,6 +26,9 @@
 LEAST_MEMORY_MB = 24  # the program alone holds about 14
 
 
+log = logging.getLogger(__name__)
+
+
 class ConfigError(Exception):
     """The dispatcher cannot start; the text is one plain line for its operator."""
 
@@ -200,11 +204,20 @@
         max_open=pairs.whole("caps.max_open", 10_000),
         sockets=_limit(limits, "sockets", 1024, LEAST_SOCKETS),
         memory_mb=_limit(limits, "memory_mb", 192, LEAST_MEMORY_MB),
-        known=MemberList(0, True, ()) if known is None else member_list(known),
+        known=_known(known),
         document=document,
     )
 
 
+def _known(told: object) -> MemberList:
+    """The list as it was last had; it only helps at the start: a torn one is left out and asked anew."""
+    try:
+        return MemberList(0, True, ()) if told is None else member_list(told)
+    except MessageError as error:
+        log.warning("known is left out: %s", error)
+        return MemberList(0, True, ())
+
+
 def _limit(limits: dict[str, Any], name: str, default: int, least: int) -> int:
     value = limits.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < least:
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 
 import h11
 
@@ -17,6 +18,7 @@
 
 READ_SIZE = 64 * 1024
 SILENCE_S = 5.0  # a watch tells at least an empty line every 2 s; one silent for this long is dead
+LINE_S = 10.0  # a line is whole by then: one that never ends would pass for a watch that tells of no change
 MAX_LINE = 4 * 1024 * 1024
 
 
@@ -63,11 +65,12 @@
                 method=b"GET", target=watch_target(self.revision),
                 headers=[(b"Host", f"{host}:{port}".encode())])) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            lines = bytearray()
+            lines, whole_at = bytearray(), time.monotonic()
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    async with asyncio.timeout(SILENCE_S):
+                    left_s = whole_at + LINE_S - time.monotonic()
+                    async with asyncio.timeout(min(SILENCE_S, max(0.0, left_s))):
                         http.receive_data(await reader.read(READ_SIZE))
                 elif isinstance(event, h11.Response) and event.status_code != 200:
                     raise MessageError(f"it answered {event.status_code}")
@@ -80,6 +83,7 @@
                     *whole, lines = lines.split(b"\n")
                     for line in whole:
                         self._line(line)
+                        whole_at = time.monotonic()
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     raise MessageError("it closed")
         finally:
--- a/weldquay/settings.py
+++ b/weldquay/settings.py
@@ -141,11 +141,20 @@
     return tuple(meaning.get(name, name) for name in pairs.items("load_info.fields"))
 
 
+def _place(pairs: Pairs) -> tuple[int, int]:
+    """How many dispatchers there are, and which of them this is."""
+    dispatchers, me = max(1, pairs.whole("group_size", 1)), pairs.whole("me", 0)
+    if not 0 <= me < dispatchers:  # turns and subsets are dealt out by it: twice the same, or never
+        raise ValueError(f"setting me is not among the {dispatchers} dispatchers of group_size: {me}")
+    return dispatchers, me
+
+
 def _settings(pairs: Pairs, classes: tuple[api.JobClass, ...]) -> api.Settings:
     via = pairs.text("load_info.via", "off")
+    dispatchers, me = _place(pairs)
     return api.Settings(
         classes=classes,
-        dispatchers=max(1, pairs.whole("group_size", 1)), me=pairs.whole("me", 0),
+        dispatchers=dispatchers, me=me,
         zone=pairs.whole("zone", 0),
         tick_ns=pairs.whole("granularity_ns", 1_000_000),
         asks_list=pairs.text("discovery", "push") == "ask",
