--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,12 +4,20 @@
 
 import random
 from collections import deque
+from dataclasses import replace
+from functools import partial
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from weldquay import interface as api
 from weldquay.fleet.turns import Cold, Rule, rank, room
+from weldquay.lab import load as loads
+from weldquay.lab import model
+from weldquay.lab.direct import Run, Trouble
+from weldquay.settings import Pairs, decode_settings
 from tests.helpers import MS, SECOND
 
 RULE = Rule(cold_share=0.34, warm_after_ns=8900 * MS, multiple=2.5, window_ns=2 * SECOND)
@@ -82,3 +90,42 @@
             break
     if dispatchers < 64:
         assert min(firsts) > 0.3 * 1280 / dispatchers
+
+
+class Watched(Run):
+    """A run that keeps the work of each send."""
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        self.work: list[tuple[int, int, float]] = []
+        super().__init__(*args, **more)
+
+    def _send(self, dispatcher: int, action: api.Send) -> None:
+        if (client := self.clients[dispatcher].get(action.request)) is not None:
+            arrival = client.arrival
+            self.work.append((self.now_ns, action.worker, arrival.slots * (arrival.hint_ns or arrival.work_ns)))
+        super()._send(dispatcher, action)
+
+
+def test_forty_dispatchers_share_a_zone_that_returns_cold() -> None:
+    """Twenty workers of forty start at one moment: each gets work while it is cold, and never too much."""
+    specs = [model.Spec(f"s{n}") for n in range(40)]
+    kinds = loads.KINDS
+    told = [replace(decode_settings(Pairs.from_nested(loads.settings(40, kinds, me)))[0],
+                    cold_share=RULE.cold_share, warm_after_ns=RULE.warm_after_ns,
+                    fall_multiple=RULE.multiple, overload_for_ns=RULE.window_ns) for me in range(40)]
+    arrivals = loads.draw(3, 12 * SECOND, sum(spec.speed * spec.cores for spec in specs), 0.4, 40, kinds)
+    back = [Trouble(2 * SECOND, partial(Run.restart, worker=worker)) for worker in range(1, 21)]
+    run = Watched(arrivals, specs, told, 3, kinds, 1, back)
+    run.go()
+    begun_ns, used = run.begun_ns + 2 * SECOND, 0.0
+    for worker in range(1, 21):
+        sent = [(at_ns - begun_ns, work) for at_ns, number, work in run.work
+                if number == worker and begun_ns <= at_ns < begun_ns + RULE.warm_after_ns]
+        assert sent, worker
+        used += sum(work for _, work in sent)
+        for begin_ns, _ in sent:
+            window = sum(work for at_ns, work in sent if begin_ns <= at_ns < begin_ns + RULE.window_ns)
+            assert window <= RULE.multiple * RULE.share(begin_ns) * specs[0].cores * RULE.window_ns
+    could = 20 * sum(RULE.share(age) * specs[0].cores * 100 * MS
+                     for age in range(0, RULE.warm_after_ns, 100 * MS))
+    assert used > 0.08 * could, used / could
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -41,6 +41,7 @@
 from weldquay.planning.timetable import Own, Timetable, seen
 
 SECOND_NS = 1_000_000_000
+FORGIVE, DOUBT = 0.5, 0.3  # after an error two jobs that may run again end well before others go there
 START_NS = 50_000_000  # a job that has not told its start by then waits: its way takes a few ms
 MIN_ARRIVALS = 2.0  # floor of m (the design page); the formula divides by m - 1
 HELD_WAKE_NS = 100_000_000  # held jobs are tried again this often without news: well under a report interval
@@ -153,7 +154,7 @@
     used_ns: int = 0  # when an attempt last ended there and left its connection idle; 0: none, or closed
     refusals: int = 0  # in a row
     drag: tuple[float, int] = (0.0, 0)  # logarithm of how many times slower than its kind it was, and when
-    errors: int = 0  # since a job last ended well
+    errors: float = 0.0  # of its jobs; each that ends well takes a part of them away
     rest_ns: int = 0  # until then nothing more after a refusal
     probe_out: bool = False
     next_probe_ns: int = 0
@@ -234,7 +235,6 @@
         self.out: list[Action] = []
         self.ready: list[Worker] = []  # listed ready; those among them that this dispatcher turns to first
         self.home: list[Worker] = []
-        self.young: list[Worker] = []  # of the ready ones those that had started lately when the list changed
         self.banned: set[int] = set()  # by operators
         self.back: set[int] = set()  # put back by them, and not used since
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
@@ -350,8 +350,6 @@
                             if worker.live or worker.entry.state is not WorkerState.GONE}
         self.ready = [worker for number, worker in self.workers.items()
                       if worker.entry.state is WorkerState.READY and number not in self.banned]
-        self.young = [worker for worker in self.ready if worker.started_ns
-                      and self.now_ns - worker.started_ns < self.settings.warm_after_ns]
         at = subset([each.entry.common for each in self.ready], self.settings.me, self.settings.dispatchers)
         self.home = [self.ready[place] for place in at]
 
@@ -459,9 +457,10 @@
             # Guards against workers that fail each job at once: with all slots free they draw ever more.
             worker.errors += 1
             if worker.errors > 1:  # one may be chance
-                worker.rest_ns = self.now_ns + min(TRIAL_MAX_NS, TRIAL_NS << min(worker.errors - 2, 8))
+                rest_ns = TRIAL_NS << min(max(0, int(worker.errors) - 2), 8)
+                worker.rest_ns = self.now_ns + min(TRIAL_MAX_NS, rest_ns)
         if event.outcome is Outcome.OK:
-            worker.errors = 0
+            worker.errors *= FORGIVE
             self._learn(attempt, event.latency_ns)
         if event.over or event.outcome is Outcome.OK:
             self._close(event.request)
@@ -602,7 +601,7 @@
     def _suits(self, job: Job, worker: Worker) -> bool:
         """True where the worker is of the kind and group that the job needs, and warm enough for it."""
         entry, rules, risky, need = worker.entry, job.rules, job.risky, job.request
-        if rules.kind not in (-1, entry.kind) or (worker.errors and rules.effect is Effect.UNSAFE):
+        if rules.kind not in (-1, entry.kind) or (worker.errors > DOUBT and rules.effect is Effect.UNSAFE):
             return False  # what failed last is tried with jobs that may run again
         if risky is not None and rules.effect is Effect.KEYED and (
                 (rules.group is Group.CELL and entry.cell != risky.worker.entry.cell)
@@ -651,7 +650,7 @@
         if job.rules.kind != -1 or job.risky is not None:
             pool = [worker for worker in self.ready if self._suits(job, worker)]
         some = self.random.sample(pool, min(len(pool), 3 * count))
-        some = [each for each in self.young if each not in some and self._cold_room(each) < math.inf] + some
+        some = [each for each in self.ready if each not in some and self._cold_room(each) < math.inf] + some
         asked = [worker for worker in some
                  if now - worker.report_ns > FRESH_NS
                  and now >= max(worker.next_probe_ns, worker.rest_ns, worker.suspect * worker.trial_ns)
