--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -102,7 +102,8 @@
     def _send(self, dispatcher: int, action: api.Send) -> None:
         if (client := self.clients[dispatcher].get(action.request)) is not None:
             arrival = client.arrival
-            self.work.append((self.now_ns, action.worker, arrival.slots * (arrival.hint_ns or arrival.work_ns)))
+            work_ns = arrival.slots * (arrival.hint_ns or arrival.work_ns)
+            self.work.append((self.now_ns, action.worker, work_ns))
         super()._send(dispatcher, action)
 
 
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -692,9 +692,9 @@
             return False
         rates = [1 / self.running.pace(worker.entry.kind) for worker, _ in choice]
         loads, rates = [], [rate * len(rates) / sum(rates) for rate in rates]
-        for worker, load in choice:
+        for (worker, load), rate in zip(choice, rates, strict=True):
             far = rules.cross_zone_price > 0 and worker.entry.zone != rules.zone
-            loads.append(load + round(worker.size or self.usual_size) + FAR_LOAD * far)
+            loads.append(load + round(worker.size or self.usual_size) + FAR_LOAD * far * max(1.0, m * rate))
         shares = water_fill(loads, m, rates)
         self._push(job, self.random.choices([row[0] for row in choice], weights=shares)[0])
         return True
