Let a turn at a cold worker hold 2.5 s of work, cut while its kind of machine is unknown

Changed: TURN_NS of its own; the budget is divided by a doubt that falls with answers from that kind, as a fresh process could take an old machine for one of mean speed and three full turns would pass the limit.

--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -15,7 +15,8 @@
 from functools import lru_cache
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
-LEAST_NS = 800_000_000  # work worth a turn: one job of nearly any class, or a few short ones
+LEAST_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
+TURN_NS = 2_500_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
 PART = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
 TURN_PART = 0.65  # the same where turns are taken: a dispatcher knows less of a worker that it meets seldom
 _MASK = 2**64 - 1
@@ -47,7 +48,7 @@
     number: the same at all dispatchers for this start of this worker, None where they have not heard of it at
     one time; age_ns: since its start; capacity: what it can do once warm, in ns of work a ns; me: the
     dispatcher's number, from 0; known_ns: the age from which on this process knows of all that the dispatcher
-    has sent.
+    has sent; doubt: how many times slower than that the worker may be.
     """
 
     number: int | None
@@ -56,6 +57,7 @@
     me: int
     dispatchers: int
     known_ns: int = 0
+    doubt: float = 1.0
 
 
 def room(rule: Rule, cold: Cold, sent: deque[tuple[int, float]]) -> float:
@@ -81,8 +83,9 @@
     # Guards against a second use of a turn by a process that has just started, and cannot know of the first.
     if begin_ns < cold.known_ns:
         return 0.0, begin_ns
-    whole_ns = TURN_PART * rule.multiple * rule.share(begin_ns) * cold.capacity * window_ns / (SLICES + 1)
-    turns = max(1, int(whole_ns / LEAST_NS))
+    budget_ns = rule.multiple * rule.share(begin_ns) * cold.capacity / cold.doubt * window_ns
+    whole_ns = TURN_PART * budget_ns / (SLICES + 1)
+    turns = max(1, int(whole_ns / TURN_NS))
     mine = rank(worker, number, cold.me, cold.dispatchers) < turns
     return whole_ns / turns if mine else 0.0, begin_ns
 
--- a/weldquay/learnt/running.py
+++ b/weldquay/learnt/running.py
@@ -7,6 +7,7 @@
 
 LEARN = 0.05  # weight of a new sample in learnt means
 KIND_SAMPLES = 10  # answers that a machine kind's speed starts from, so that chance does not rule at first
+UNKNOWN = 0.6  # a kind that no answer has come from yet may be slower than the mean by this part
 
 
 class Running:
@@ -36,3 +37,7 @@
     def pace(self, kind: int) -> float:
         """How many times longer than on a mean machine jobs run on one of this kind."""
         return math.exp(self.slowness.get(kind, (0.0, 0))[0])
+
+    def doubt(self, kind: int) -> float:
+        """How many times slower than its pace a kind may be, until that is known: limits must hold before."""
+        return 1 + UNKNOWN * KIND_SAMPLES / (self.slowness.get(kind, (0.0, 0))[1] + KIND_SAMPLES)
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -572,7 +572,7 @@
             common = worker.entry.common if worker.back_ns <= worker.entry.started_ns else None
             worker.cold_ns, worker.cold_room = self.now_ns, room(self.rule, Cold(
                 common, age_ns, slots / self.running.pace(worker.entry.kind), rules.me, rules.dispatchers,
-                self.begun_ns - worker.started_ns), worker.pushed)
+                self.begun_ns - worker.started_ns, self.running.doubt(worker.entry.kind)), worker.pushed)
         return worker.cold_room
 
     def _load(self, worker: Worker) -> float:
