--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -148,3 +148,13 @@
         sent = {action.worker for action in actions if isinstance(action, api.Send)}
         assert sent and sent <= ready
         assert {worker.entry.worker for worker in each.home} <= ready and len(each.home) >= LEAST
+
+
+def test_an_old_list_gives_way_to_what_discovery_tells() -> None:
+    """Workers that only the file knew are gone, and those that came since are in the subset."""
+    drive = Dispatcher(settings(dispatchers=DISPATCHERS, me=5, may_probe=False), 1)
+    drive.step(SECOND, [api.Membership(api.ListKind.CACHED, WORKERS[:40])])
+    drive.step(2 * SECOND, [api.Membership(api.ListKind.FULL, WORKERS[30:])])
+    actions = drive.step(3 * SECOND, [api.Request(number, 0, SECOND) for number in range(20)])
+    assert {action.worker for action in actions if isinstance(action, api.Send)} <= set(range(31, 61))
+    assert {worker.entry.worker for worker in drive.home} <= set(range(31, 61))
