Read the rows of a checked list in one place, and reckon the cold budget in one

The budget of a cold worker was written out twice in turns.py: Rule.budget_ns. A look asks first whether a worker is cold, which is cheaper than searching the list of those it has drawn. Nothing behaves otherwise; no test is changed.

--- a/weldquay/config/rules/base.py
+++ b/weldquay/config/rules/base.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from weldquay.config.catalogue import Catalogue, fold, near
+from weldquay.config.catalogue import Catalogue, Kind, fold, near
 from weldquay.config.reading import Steps
 
 
@@ -45,6 +45,29 @@
         rows = rows if isinstance(rows, list) else []
         return [(number, row) for number, row in enumerate(rows) if isinstance(row, dict)]
 
+    def named(self, name: str) -> list[tuple[int, str]]:
+        """The names in a list of the settings, with their positions; what has no name is left out."""
+        return [(number, row["name"]) for number, row in self.rows(name) if isinstance(row.get("name"), str)]
+
+    def figures(self, name: str, key: str) -> list[float]:
+        """The figures under one key in a list of the settings; rows without one are left out."""
+        told = (figure(row.get(key)) for _, row in self.rows(name))
+        return [each for each in told if each is not None]
+
+    def jobs(self) -> Iterator[tuple[int, dict[str, Any], Kind]]:
+        """The classes that the catalogue knows, with their positions and what it says of them."""
+        assert self.catalogue is not None
+        for number, row in self.rows("services"):
+            if (kind := self.catalogue.kind(str(row.get("name", "")))) is not None:
+                yield number, row, kind
+
+    def misspelt(self, name: str, known: list[str]) -> Iterator[tuple[int, str, str]]:
+        """The names in a list of the settings that stand for a known one: position, name, the known name."""
+        for number, row in self.rows(name):
+            told = str(row.get("name", ""))
+            if other := meant(told, known):
+                yield number, told, other
+
     def number(self, *steps: str, default: float | None = None) -> float | None:
         """A figure at a place; the default where there is none, or no figure."""
         value = self.group(*steps[:-1]).get(steps[-1], default)
--- a/weldquay/config/rules/customers.py
+++ b/weldquay/config/rules/customers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from weldquay.config.catalogue import fold, near
-from weldquay.config.rules.base import Found, Level, Where, figure, meant, rule
+from weldquay.config.rules.base import Found, Level, Where, figure, rule
 
 ROUNDING = 0.005  # shares in whole hundredths
 
@@ -25,7 +25,7 @@
       why="Each share would promise what another has been promised as well.",
       bad='[{"fraction": 0.7}, {"fraction": 0.6}]', good='[{"fraction": 0.7}, {"fraction": 0.3}]')
 def _sum(where: Where) -> Found:
-    shares = [figure(row.get("fraction"), 0.0) or 0.0 for _, row in where.rows("customers")]
+    shares = where.figures("customers", "fraction")
     if sum(shares) > 1 + ROUNDING:
         yield ("settings", "customers"), f"the shares add up to {sum(shares):g}: they may be 1 together"
 
@@ -48,13 +48,11 @@
       bad='[{"name": "a"}, {"name": "A"}]', good='[{"name": "a"}]')
 def _doubled(where: Where) -> Found:
     seen: dict[str, str] = {}
-    for number, row in where.rows("customers"):
-        name = row.get("name")
-        if isinstance(name, str):
-            if fold(name) in seen:
-                yield ("settings", "customers", number, "name"), (
-                    f"{name} stands in the list already, as {seen[fold(name)]}: keep one")
-            seen.setdefault(fold(name), name)
+    for number, name in where.named("customers"):
+        if fold(name) in seen:
+            yield ("settings", "customers", number, "name"), (
+                f"{name} stands in the list already, as {seen[fold(name)]}: keep one")
+        seen.setdefault(fold(name), name)
 
 
 @rule("WQ405", Level.SITE, "A customer is nearly, but not exactly, a known one", facts=True,
@@ -63,10 +61,8 @@
 def _nearly(where: Where) -> Found:
     assert where.catalogue is not None
     known = [customer.name for customer in where.catalogue.customers]
-    for number, row in where.rows("customers"):
-        name = str(row.get("name", ""))
-        if other := meant(name, known):
-            yield ("settings", "customers", number, "name"), f"{name} is not {other}: write {other}"
+    for number, name, other in where.misspelt("customers", known):
+        yield ("settings", "customers", number, "name"), f"{name} is not {other}: write {other}"
 
 
 @rule("WQ406", Level.ADVICE, "A customer that the catalogue does not know", facts=True,
--- a/weldquay/config/rules/jobs.py
+++ b/weldquay/config/rules/jobs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from weldquay.config.catalogue import fold, near
-from weldquay.config.rules.base import Found, Level, Where, meant, rule
+from weldquay.config.rules.base import Found, Level, Where, rule
 
 
 @rule("WQ201", Level.SITE, "A job that must never run twice is told to be repeatable", facts=True,
@@ -12,10 +12,8 @@
       bad='{"name": "segment-commit", "effect": "retryable"}',
       good='{"name": "segment-commit", "effect": "fragile"}')
 def _repeatable(where: Where) -> Found:
-    assert where.catalogue is not None
-    for number, row in where.rows("services"):
-        kind = where.catalogue.kind(str(row.get("name", "")))
-        if kind is not None and kind.never_twice and row.get("effect") in ("retryable", "dedup"):
+    for number, row, kind in where.jobs():
+        if kind.never_twice and row.get("effect") in ("retryable", "dedup"):
             yield ("settings", "services", number, "effect"), (
                 f"{row['name']} must never run twice, but its effect is {row['effect']}: write fragile")
 
@@ -28,12 +26,10 @@
 def _nearly(where: Where) -> Found:
     assert where.catalogue is not None
     known = [kind.name for kind in where.catalogue.kinds]
-    for number, row in where.rows("services"):
-        name = str(row.get("name", ""))
-        if other := meant(name, known):
-            yield ("settings", "services", number, "name"), (
-                f"{name} is not {other}: calls for {other} would not find it; write {other}, or a name "
-                "that nobody takes for it")
+    for number, name, other in where.misspelt("services", known):
+        yield ("settings", "services", number, "name"), (
+            f"{name} is not {other}: calls for {other} would not find it; write {other}, or a name "
+            "that nobody takes for it")
 
 
 @rule("WQ203", Level.ALWAYS, "Two classes have the same name",
@@ -42,13 +38,11 @@
       good='[{"name": "a", "effect": "fragile"}, {"name": "b", "effect": "retryable"}]')
 def _doubled(where: Where) -> Found:
     seen: dict[str, int] = {}
-    for number, row in where.rows("services"):
-        name = row.get("name")
-        if isinstance(name, str):
-            if name in seen:
-                yield ("settings", "services", number, "name"), (
-                    f"{name} is the name of class {seen[name]} as well: give each class one name")
-            seen.setdefault(name, number)
+    for number, name in where.named("services"):
+        if name in seen:
+            yield ("settings", "services", number, "name"), (
+                f"{name} is the name of class {seen[name]} as well: give each class one name")
+        seen.setdefault(name, number)
 
 
 @rule("WQ204", Level.SITE, "Two classes differ only in spelling",
@@ -56,13 +50,11 @@
       bad='["segment-commit", "Segment_Commit"]', good='["segment-commit"]')
 def _alias(where: Where) -> Found:
     seen: dict[str, str] = {}
-    for number, row in where.rows("services"):
-        name = row.get("name")
-        if isinstance(name, str):
-            other = seen.setdefault(fold(name), name)
-            if other != name:
-                yield ("settings", "services", number, "name"), (
-                    f"{name} and {other} are the same name in two spellings: keep one")
+    for number, name in where.named("services"):
+        other = seen.setdefault(fold(name), name)
+        if other != name:
+            yield ("settings", "services", number, "name"), (
+                f"{name} and {other} are the same name in two spellings: keep one")
 
 
 @rule("WQ205", Level.ADVICE, "A class that the catalogue does not know", facts=True,
--- a/weldquay/config/rules/times.py
+++ b/weldquay/config/rules/times.py
@@ -23,10 +23,9 @@
       bad='{"name": "exact-lookup", "give_up_ns": 20000000000}',
       good='{"name": "exact-lookup", "give_up_ns": 5000000000}')
 def _patience(where: Where) -> Found:
-    assert where.catalogue is not None
-    for number, row in where.rows("services"):
-        kind, told = where.catalogue.kind(str(row.get("name", ""))), figure(row.get("give_up_ns"))
-        if kind is not None and told is not None and told > kind.give_up_ns:
+    for number, row, kind in where.jobs():
+        told = figure(row.get("give_up_ns"))
+        if told is not None and told > kind.give_up_ns:
             yield ("settings", "services", number, "give_up_ns"), (
                 f"{row['name']} would be waited for {seconds(told)}, but its clients give up after "
                 f"{seconds(kind.give_up_ns)}: write at most {kind.give_up_ns}")
@@ -37,10 +36,9 @@
       bad='{"name": "exact-lookup", "aim_ns": 100000000}',
       good='{"name": "exact-lookup", "aim_ns": 250000000}')
 def _other_aim(where: Where) -> Found:
-    assert where.catalogue is not None
-    for number, row in where.rows("services"):
-        kind, told = where.catalogue.kind(str(row.get("name", ""))), figure(row.get("aim_ns"))
-        if kind is not None and kind.aim_ns is not None and told not in (None, float(kind.aim_ns)):
+    for number, row, kind in where.jobs():
+        told = figure(row.get("aim_ns"))
+        if kind.aim_ns is not None and told not in (None, float(kind.aim_ns)):
             yield ("settings", "services", number, "aim_ns"), (
                 f"the site wants {row['name']} within {seconds(kind.aim_ns)}, not {seconds(told or 0)}")
 
@@ -50,8 +48,7 @@
       bad='"connect_timeout_ns": 8000000000', good='"connect_timeout_ns": 250000000')
 def _connect(where: Where) -> Found:
     told = where.number("settings", "caps", "connect_timeout_ns", default=250_000_000)
-    rows = [figure(row.get("give_up_ns")) for _, row in where.rows("services")]
-    least = min((each for each in rows if each is not None), default=None)
+    least = min(where.figures("services", "give_up_ns"), default=None)
     if told is not None and least is not None and told >= least:
         yield ("settings", "caps", "connect_timeout_ns"), (
             f"connecting may take {seconds(told)}, but a client gives up after {seconds(least)}: "
@@ -63,8 +60,7 @@
       bad='"max_retry_after_ns": 60000000000', good='"max_retry_after_ns": 2000000000')
 def _retry_after(where: Where) -> Found:
     told = where.number("settings", "caps", "max_retry_after_ns", default=0.0) or 0.0
-    rows = [figure(row.get("give_up_ns")) for _, row in where.rows("services")]
-    most = max((each for each in rows if each is not None), default=None)
+    most = max(where.figures("services", "give_up_ns"), default=None)
     if most is not None and told > most:
         yield ("settings", "caps", "max_retry_after_ns"), (
             f"clients may be told to wait {seconds(told)}, but none waits longer than {seconds(most)}")
--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -40,6 +40,10 @@
         risen = min(1.0, max(0.0, age_ns) / self.warm_after_ns) if self.warm_after_ns > 0 else 1.0
         return self.cold_share + (1 - self.cold_share) * risen
 
+    def budget_ns(self, age_ns: float, capacity: float) -> float:
+        """Work that pushes a worker of this capacity over within a window, by what it can do at this age."""
+        return self.multiple * self.share(age_ns) * capacity * max(1, self.window_ns)
+
 
 @dataclass(frozen=True, slots=True)
 class Cold:
@@ -66,7 +70,7 @@
     What has left the window is dropped from sent.
     """
     window_ns = max(1, rule.window_ns)
-    budget_ns = rule.multiple * rule.share(cold.age_ns) * cold.capacity * window_ns
+    budget_ns = rule.budget_ns(cold.age_ns, cold.capacity)
     may_ns, since_ns = PART * budget_ns / cold.dispatchers, cold.age_ns - window_ns + 1
     if cold.number is not None and may_ns < LEAST_NS and cold.dispatchers > 1:  # a part would hold no job
         may_ns, since_ns = _turn(rule, cold, cold.number, window_ns)
@@ -83,8 +87,7 @@
     # Guards against a second use of a turn by a process that has just started, and cannot know of the first.
     if begin_ns < cold.known_ns:
         return 0.0, begin_ns
-    budget_ns = rule.multiple * rule.share(begin_ns) * cold.capacity / cold.doubt * window_ns
-    whole_ns = TURN_PART * budget_ns / (SLICES + 1)
+    whole_ns = TURN_PART * rule.budget_ns(begin_ns, cold.capacity / cold.doubt) / (SLICES + 1)
     turns = max(1, int(whole_ns / TURN_NS))
     mine = rank(worker, number, cold.me, cold.dispatchers) < turns
     return whole_ns / turns if mine else 0.0, begin_ns
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -650,7 +650,7 @@
         if job.rules.kind != -1 or job.risky is not None:
             pool = [worker for worker in self.ready if self._suits(job, worker)]
         some = self.random.sample(pool, min(len(pool), 3 * count))
-        some = [each for each in self.ready if each not in some and self._cold_room(each) < math.inf] + some
+        some = [each for each in self.ready if self._cold_room(each) < math.inf and each not in some] + some
         asked = [worker for worker in some
                  if now - worker.report_ns > FRESH_NS
                  and now >= max(worker.next_probe_ns, worker.rest_ns, worker.suspect * worker.trial_ns)
