Start without handover where the system refuses unix sockets

Handover.ask, Handover.listen and answers() made their AF_UNIX socket outside any try: a refusal there raised out of Program.start and the dispatcher would not start. Change: one door() makes the socket; each of the three ways goes without it, with one log line ("no handover, this process starts by itself: ...", "no newer process can take over from this one: ..."). Measured: the new test, with socket() refusing AF_UNIX, fails on the code before (OSError out of start) and passes now; the handover tests pass unchanged.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -312,3 +312,28 @@
                 assert await process.wait() == 0
     path = tmp_path / "config.json"
     asyncio.run(scenario())
+
+
+class NoUnix(socket.socket):
+    """A system that refuses new unix sockets, as a filter of system calls may; the loop's pair is made."""
+
+    def __init__(self, family: int = -1, type: int = -1, proto: int = -1, fileno: int | None = None) -> None:
+        if family == socket.AF_UNIX and fileno is None:
+            raise OSError(97, "Address family not supported by protocol")
+        super().__init__(family, type, proto, fileno)
+
+
+def test_without_unix_sockets_it_starts_and_serves_alone(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    """No handover is to be had: it says so once at each end and serves."""
+    async def scenario() -> None:
+        async with site() as here:
+            assert here.program.phase is Phase.SERVING and here.program.handover.door is None
+            assert (await here.post()).body == b"TEXT" and await here.health() == 200
+            assert not handover.answers(NAME)
+    monkeypatch.setattr(socket, "socket", NoUnix)
+    with caplog.at_level("INFO", logger=handover.__name__):
+        asyncio.run(scenario())
+    said = [record.getMessage() for record in caplog.records]
+    assert any(line.startswith("no handover, this process starts by itself") for line in said)
+    assert any(line.startswith("no newer process can take over") for line in said)
--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -137,11 +137,21 @@
         self.take(message)
 
 
+def door() -> socket.socket:
+    """A unix socket for the handover; OSError where the system allows none."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    sock.setblocking(False)
+    return sock
+
+
 def answers(name: str) -> bool:
-    """True where an older process of this dispatcher listens."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
-        sock.setblocking(False)
-        return sock.connect_ex(str(place(name, ".sock"))) == 0
+    """True where an older process of this dispatcher listens; False where there are no unix sockets."""
+    try:
+        with door() as sock:
+            return sock.connect_ex(str(place(name, ".sock"))) == 0
+    except OSError as error:
+        log.info("no handover: %s", error)
+        return False
 
 
 class Process(Protocol):
@@ -175,8 +185,11 @@
 
     async def ask(self) -> Message | None:
         """What an older process offers, its listener; None where there is no such process, or no answer."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        sock.setblocking(False)
+        try:
+            sock = door()
+        except OSError as error:  # a system without unix sockets: a start without handover
+            log.warning("no handover, this process starts by itself: %s", error)
+            return None
         try:
             sock.connect(str(self.path))
         except OSError as error:  # no file, or a stale one
@@ -204,20 +217,23 @@
 
     def listen(self) -> None:
         """Wait for a newer process; one that came before, and what it left, is replaced by a rename."""
-        door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        door.setblocking(False)
         fresh = self.path.with_suffix(f".{os.getpid()}")
+        try:
+            listening = door()
+        except OSError as error:
+            log.warning("no newer process can take over from this one: %s", error)
+            return
         try:
             fresh.unlink(missing_ok=True)
-            door.bind(str(fresh))
-            door.listen(1)
+            listening.bind(str(fresh))
+            listening.listen(1)
             fresh.replace(self.path)
         except OSError as error:
             log.error("no newer process can take over from this one, at %s: %s", self.path, error)
-            door.close()
+            listening.close()
             return
-        self.door = door
-        asyncio.get_running_loop().add_reader(door, self._accept)
+        self.door = listening
+        asyncio.get_running_loop().add_reader(listening, self._accept)
 
     def _accept(self) -> None:
         assert self.door is not None
