Count a warm worker's reported service time as its slowness at every dispatcher

Each dispatcher learnt slowness only from its own jobs there (logic._learn, drag), and at 200 each meets a worker seldom. The site's reports carry svc_ms, the same at every dispatcher, and settings.load_report dropped it. Change: LoadReport.service_ms; learnt.Running.told keeps each kind's usual told time and averages a worker's excess into drag, which _told already uses to leave out workers past 2.5 times their kind. Tests: a slow report leaves a worker out before any own job; a kind's time counts from ten reports; a cold worker's report counts for nothing. Each fails on the code before.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 import pytest
 
 from weldquay import interface as api
 from weldquay.interface import Effect, Group, Outcome
+from weldquay.learnt.running import Running
 from weldquay.logic import Dispatcher
 from tests.helpers import MS, SECOND, Drive, finals, job_class, sends, settings
 
@@ -562,3 +564,42 @@
         drive.report(1, 3.0 + int(number * 0.8) * 0.001)
         drive.run(800 * MS)
     assert 800 * MS < drive.dispatcher.interval.ns < 1200 * MS
+
+
+def test_a_worker_that_reports_slow_service_is_left_out_before_any_own_job() -> None:
+    """At 200 dispatchers each paid for its own slow jobs at a sick worker: its report tells all at once."""
+    drive = Drive(workers=4)
+    for number in range(6):  # a report that says the same again is no news
+        for worker in drive.worker_ids:
+            drive.report(worker, 3.0, service_ms=(4000.0 if worker == 1 else 500.0) + number)
+    jobs = [api.Request(n, 0, 10 * SECOND) for n in range(1, 9)]
+    chosen = [send.worker for send in sends(drive.step(*jobs))]
+    assert len(chosen) == 8 and 1 not in chosen
+    for worker in drive.worker_ids:  # once it is as quick as the others it is drawn again
+        for number in range(6):
+            drive.report(worker, 3.0, service_ms=500.0 + number)
+    later = [api.Request(n, 0, 10 * SECOND) for n in range(9, 40)]
+    assert 1 in {send.worker for send in sends(drive.step(*later))}
+
+
+def test_a_kinds_usual_service_time_is_learnt_before_it_counts() -> None:
+    """A worker's told time counts against the mean of its kind, once that rests on ten reports."""
+    running = Running([SECOND])
+    assert running.told(0, 4000.0, 0.1) == 0.1
+    for _ in range(10):
+        running.told(0, 500.0, 0.0)
+    assert running.told(0, 4000.0, 0.0) == pytest.approx(math.log(8) * 10 / 11 / 2)  # the first counts
+    assert running.told(0, 0.0, 0.0) < 0 and running.told(1, 4000.0, 0.0) == 0.0
+
+
+def test_a_cold_workers_slow_service_is_not_held_against_it() -> None:
+    """A worker that has just started is slow by the platform's rules: its told times count for nothing."""
+    drive = Drive(workers=4)
+    entries = [api.WorkerEntry(w, api.WorkerState.READY, cell=w // 2, started_ns=drive.now if w == 1 else 0)
+               for w in drive.worker_ids]
+    drive.step(api.Membership(api.ListKind.CACHED, tuple(entries)))
+    for number in range(6):
+        for worker in drive.worker_ids:
+            drive.report(worker, 3.0, service_ms=(4000.0 if worker == 1 else 500.0) + number)
+    assert drive.dispatcher.workers[1].drag[0] == 0.0
+    assert drive.dispatcher.running.service[0][1] == 18  # the three warm ones, six times
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -16,7 +16,7 @@
 
 FIELDS = {"svc_ms": "svc_ms", "pending": "pending", "x0": "free_slots"}
 LOAD = {"svc_ms": 12.5, "pending": 2, "x0": 3}
-REPORT = api.LoadReport(free_slots=3.0, queued=2.0)
+REPORT = api.LoadReport(free_slots=3.0, queued=2.0, service_ms=12.5)
 ID = (b"x-correlation-id", b"c1")
 
 
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -128,6 +128,7 @@
     held: float | None = None
     queued: float | None = None
     busy_share: float | None = None
+    service_ms: float | None = None  # its recent service time: the same news at every dispatcher
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/learnt/running.py
+++ b/weldquay/learnt/running.py
@@ -18,6 +18,7 @@
         self.mean_ns: list[float] = []
         self.logs: list[float | None] = []  # mean logarithm of the same
         self.slowness: dict[int, tuple[float, int]] = {}  # by machine kind: its part of that, samples
+        self.service: dict[int, tuple[float, int]] = {}  # by kind: mean logarithm of told times, samples
         self.know(first_ns)
 
     def know(self, first_ns: Iterable[int]) -> None:
@@ -34,6 +35,19 @@
         self.logs[number] = math.log(run_ns) - slow if mean is None else mean + LEARN * error
         self.slowness[kind] = slow + error * max(LEARN / 2, 1 / (samples + KIND_SAMPLES)), samples + 1
 
+    def told(self, kind: int, service_ms: float, drag: float) -> float:
+        """A worker's slowness (logarithm of times its kind's usual) once its report of service time is heard.
+
+        drag: what was known of it before, which weighs as much as the report.  Every dispatcher hears the
+        same report, so a slow worker is known at all of them at once, not after each has paid for its own
+        attempts there.  Until a kind's usual time rests on KIND_SAMPLES reports the drag stays.  A time
+        under 1 ms counts as 1 ms.
+        """
+        value = math.log(max(1.0, service_ms))
+        mean, samples = self.service.get(kind, (value, 0))
+        self.service[kind] = mean + (value - mean) * max(LEARN, 1 / (samples + 1)), samples + 1
+        return (drag + value - mean) / 2 if samples >= KIND_SAMPLES else drag
+
     def pace(self, kind: int) -> float:
         """How many times longer than on a mean machine jobs run on one of this kind."""
         return math.exp(self.slowness.get(kind, (0.0, 0))[0])
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -218,8 +218,7 @@
 class Dispatcher:
     """One dispatcher: feed it events by step, carry out the actions it returns.
 
-    A request of an unknown class raises IndexError; events about other unknown things are ignored.
-    """
+    A request of an unknown class raises IndexError; events about other unknown things are ignored."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
@@ -519,6 +518,9 @@
             worker.report = report
             cover_ns = COVER_NS + min(gap_ns, int(self.interval.ns)) // 2
             worker.hear(self.now_ns, report, cover_ns, self.settings.queue_in_order)
+            if report.service_ms is not None and self._cold_room(worker) == math.inf:  # cold ones are slow
+                drag = self.running.told(worker.entry.kind, report.service_ms, self._drag(worker))
+                worker.drag = drag, self.now_ns
         self.news.pop(worker.entry.worker, None)
         self.news[worker.entry.worker] = worker
         if worker.free is not None:
--- a/weldquay/settings.py
+++ b/weldquay/settings.py
@@ -129,7 +129,7 @@
         return None
     return api.LoadReport(
         values.get("free_slots"), values.get("free_memory"), values.get("busy_reqs"), values.get("pending"),
-        values.get("cpu_share"),
+        values.get("cpu_share"), values.get("svc_ms"),
     )
 
 
