Pass Idempotency-Key and the method on to workers as the client sent them

Ruled out: path and query (passed as the target), body (the same bytes). Wrong lines: messages.job_headers wrote no Idempotency-Key, and workers._attempt sent every job by a literal POST; the acceptor built the Job in two places with the same line.

Change: Job carries the method and the key, messages.job_of builds it from the request in one place, job_headers writes the key, the attempt uses the job's method.

--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -21,7 +21,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Answer, Call, Exchange, Overload, Served
 from weldquay.net.messages import (
-    MAX_BODY, Body, Figures, Job, MessageError, callback, class_name, figures, last_answer, request_again,
+    MAX_BODY, Body, Figures, MessageError, callback, class_name, figures, job_of, last_answer, request_again,
     retry_after,
 )
 from weldquay.net.tasks import Tasks
@@ -160,7 +160,7 @@
             body += event.data
         told = figures(request.headers)
         answers: list[Answer] = []
-        job = Job(request.target, body, dict(request.headers).get(b"content-type"))
+        job = job_of(request, body)
         self.elsewhere.discard(told.id)
         self.in_hand.add(told.id)
         return Expected(self.exchange.adopt(passed.call, told, job, answers.append), answers)
@@ -521,7 +521,7 @@
         if told.id in self.acceptor.in_hand or told.id in self.acceptor.elsewhere:
             self._reject(409, "a call with this id is in hand")
             return
-        job = Job(request.target, body, dict(request.headers).get(b"content-type"))
+        job = job_of(request, body)
         self.ahead = 0
         self.answered.clear()
         self.call = self.acceptor.exchange.open(job_class, told, job, self._answer)
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -36,11 +36,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """What passes on to a worker unchanged."""
+    """What passes on to a worker unchanged: method, path and query, body, the headers the page names.
+
+    Source: the protocol's page, dispatchers to match workers. A worker that sees a job not as its client
+    sent it voids the day, so nothing here is rewritten; the dispatcher's own headers (Host, the time
+    left) come beside it.
+    """
 
     target: bytes
     body: Body
     content_type: bytes | None = None
+    method: bytes = b"POST"
+    key: bytes | None = None  # Idempotency-Key: some workers drop a repeat of it
+
+
+def job_of(request: h11.Request, body: Body) -> Job:
+    """The job a call hands in, from its head as h11 gives it (names in lower case) and its body."""
+    values = dict(request.headers)
+    key = values.get(b"idempotency-key")
+    return Job(request.target, body, values.get(b"content-type"), request.method, key)
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,6 +335,8 @@
         (b"X-Time-Left-Ms", b"%d" % max(0, time_left_ns // MS)), (b"Content-Length", b"%d" % len(job.body))]
     if job.content_type is not None:
         headers.append((b"Content-Type", job.content_type))
+    if job.key is not None:
+        headers.append((b"Idempotency-Key", job.key))
     return headers
 
 
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -268,7 +268,7 @@
         wait_s = ACCEPT_S if attempt.call.safe else left_ns / 1e9 + LATE_ANSWER_S
         try:
             async with asyncio.timeout(wait_s):
-                reply = await self._ask(worker, b"POST", job.target, headers, job.body, attempt.call)
+                reply = await self._ask(worker, job.method, job.target, headers, job.body, attempt.call)
         except NotWritten:
             self.exchange.attempt_ended(attempt, api.Outcome.CONNECT_FAILED)
         except Broken:
