Know a client's retry by its figures only where a key or hint singles it out

Wrong lines: _take popped turned_away by _likeness = (class, key, hint, slots, memory).

Change: _likeness is None where neither key nor hint singles the call out; such a call is as old as its own arrival, and nothing is kept for it.

--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -7,13 +7,10 @@
    take a job: of the right kind and group, warm enough, with room.
 3. A job that finds too few of them with fresh news has a few others probed (_look) and waits for their news.
 4. water_fill turns the loads and the arrivals expected within a report interval into shares; _place draws.
-5. A job that no worker may take is held, and placed, dearest work first, when room appears.
-6. Where the settings say so, the planner (weldquay/planning) holds room at one worker for a job that needs
-   several slots: others go there only if they leave its start alone; near it, it joins the worker's queue.
-
+5. A job that no worker may take is held, and placed, dearest work first, when room appears; the planner holds
+   room at one worker for a job of several slots, others go there only around its start, near it it queues.
 Events change the view and the state of jobs (_end_attempt is the table of outcomes); then _tidy settles what
-time alone brings: deadlines, the judgement of health, and the placing of held jobs.
-"""
+time alone brings: deadlines, the judgement of health, and the placing of held jobs."""
 
 from __future__ import annotations
 
@@ -91,9 +88,10 @@
     return shares
 
 
-def _likeness(request: Request) -> tuple[object, ...]:
-    """What a client's retry has in common with its first try."""
-    return request.job_class, request.key, request.hint_ns, request.slots, request.memory
+def _likeness(request: Request) -> tuple[object, ...] | None:
+    """What a client's retry has in common with its first try; None where no key or hint singles it out."""
+    return (request.job_class, request.key, request.hint_ns, request.slots, request.memory) if (
+        request.key or request.hint_ns) else None
 
 
 def _cold_rule(told: Settings) -> Rule:
@@ -355,8 +353,8 @@
     # --- jobs ---
 
     def _take(self, request: Request) -> None:
-        # A retry is known by the figures of a job that was turned away here, and is as old as that one.
-        born_ns = self.turned_away.pop(_likeness(request), self.now_ns)
+        # A retry, known by the figures of a job turned away here, is as old as it; shared figures tell none.
+        born_ns = self.turned_away.pop(like, self.now_ns) if (like := _likeness(request)) else self.now_ns
         job = Job(request, self.settings.classes[request.job_class], born_ns, self.settings.max_attempts)
         self.jobs[request.request] = self.held[request.request] = job
         # The answer is due a tick before the client's time runs out, whatever else happens.
@@ -399,7 +397,8 @@
         """Give the final answer: a refusal, till workers tell anew of their room, where that is harmless."""
         harmless = not job.rejected and (job.rules.effect is Effect.SAFE or not (job.risky or job.live))
         self._close(job.request.request)
-        self.turned_away[_likeness(job.request)] = job.born_ns
+        if (like := _likeness(job.request)) is not None:
+            self.turned_away[like] = job.born_ns
         if len(self.turned_away) > MOST_KEPT:
             del self.turned_away[next(iter(self.turned_away))]
         wait_ns = min(spread_ns(self.random, self.interval.ns), self.settings.max_retry_after_ns)
