--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,6 +19,7 @@
 from tests.site import Site, document, job, site, until
 from weldquay.net import handover, program
 from weldquay.net.config import Address
+from weldquay.net.counters import Counters
 from weldquay.net.handover import Link
 from weldquay.net.kept import Kept, place
 from weldquay.net.program import Phase, Program
@@ -337,3 +338,52 @@
     said = [record.getMessage() for record in caplog.records]
     assert any(line.startswith("no handover, this process starts by itself") for line in said)
     assert any(line.startswith("no newer process can take over") for line in said)
+
+
+class Alone:
+    """A process that offers a copy of standard input and takes in nothing else."""
+
+    def offer(self) -> tuple[int, dict[str, object]]:
+        """A descriptor that the asker closes."""
+        return os.dup(0), {}
+
+    def hand_over(self) -> None:
+        """Nothing to pass on."""
+
+    def take(self, message: handover.Message) -> None:
+        """Nothing is taken in."""
+
+    def alone(self, unsent: object) -> None:
+        """Nothing comes back."""
+
+
+def test_a_process_that_took_over_waits_for_its_own_newer_one_to_take_in_all() -> None:
+    """Its older process's end had set the events: its next handover closed 67 calls unsent, on the bench."""
+    async def scenario() -> None:
+        first, second = (handover.Handover(NAME, Counters(), Alone()) for _ in range(2))
+        first.listen()
+        offered = await second.ask()
+        assert offered is not None
+        os.close(offered.file)
+        await second.finish()
+        first.stop()
+        await until(lambda: second.link is None)
+        second.listen()
+        third = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        third.connect(str(place(NAME, ".sock")))
+        third.send(handover.Message("ask", {"form": handover.FORM}).encode())
+        packet, files, *_ = await asyncio.to_thread(socket.recv_fds, third, handover.MAX_MESSAGE, 1)
+        assert handover.Message.decode(packet).kind == "offer"
+        for each in files:
+            os.close(each)
+        parting = asyncio.create_task(second.part())
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert not parting.done()  # the third process has not said that it has taken in all
+        packet = await asyncio.to_thread(third.recv, handover.MAX_MESSAGE)
+        assert handover.Message.decode(packet).kind == "end"
+        third.send(handover.Message("ended", {}).encode())
+        await parting
+        second.stop()
+        third.close()
+    asyncio.run(scenario())
