--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -247,8 +247,8 @@
             return
         if self.link is not None:  # it only looked whether there is a process here
             self.link.close()
-        # Guards against the events of an earlier link: set when it was lost, they would end this one's waits at
-        # once, and its last messages, connections with their calls, would be closed unread.
+        # Guards against the events of an earlier link: set when it was lost, they would end this one's
+        # waits at once, and its last messages, connections with their calls, would be closed unread.
         self.answered, self.taken, self.parted = asyncio.Event(), asyncio.Event(), asyncio.Event()
         self.link = Link(sock, self._take, self._lost)
 
