Make each handover link with its events in one place, for the newer side's ask too

Both now make their link through Handover._begin, which makes the events with it, so no link can find an earlier one's set.

--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -197,8 +197,7 @@
             if not isinstance(error, FileNotFoundError):
                 log.info("no older process at %s: %s", self.path, error)
             return None
-        self.link = Link(sock, self._take, self._lost)
-        self.link.send("ask", form=FORM)
+        self._begin(sock).send("ask", form=FORM)
         with suppress(TimeoutError):
             async with asyncio.timeout(ASK_S):
                 await self.answered.wait()
@@ -247,10 +246,7 @@
             return
         if self.link is not None:  # it only looked whether there is a process here
             self.link.close()
-        # Guards against the events of an earlier link: set when it was lost, they would end this one's
-        # waits at once, and its last messages, connections with their calls, would be closed unread.
-        self.answered, self.taken, self.parted = asyncio.Event(), asyncio.Event(), asyncio.Event()
-        self.link = Link(sock, self._take, self._lost)
+        self._begin(sock)
 
     async def part(self) -> None:
         """Wait until the newer process has taken in all that was sent."""
@@ -261,6 +257,16 @@
 
     # --- both ---
 
+    def _begin(self, sock: socket.socket) -> Link:
+        """A link to the other process, with waits of its own.
+
+        Guards against the events of an earlier link: set when it was lost, they would end this one's waits at
+        once, and its last messages, connections with their calls, would be closed unread.
+        """
+        self.answered, self.taken, self.parted = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        self.link = Link(sock, self._take, self._lost)
+        return self.link
+
     def send(self, kind: str, data: bytes = b"", file: int = -1, **told: Any) -> None:
         """Tell the other process, where there is one."""
         if self.link is not None:
