Break a silent watch in 2.6 s and ask anew within the list's one clock

Lines at fault: net/registry.py took a watch for dead after SILENCE_S = 5 s, and fleet/pace.Backoff.wait_ns then drew from up to ask_within = 10 s at 200 dispatchers. Change: a watch is silent when a line is 0.6 s overdue (an empty one is due every 2 s); the failure tells how long it was silent, and the wait fits into what the 6 s leave after 2 s of discovery's queue. Only failures past the clock widen the spread. Pushed lists come from an agent of the own machine: asked at the first moment before anyone is served, and again every 0.3 s while it is silent. Lists may come indented. A blank reason in the log (a TimeoutError prints nothing) is gone.

--- a/tests/site.py
+++ b/tests/site.py
@@ -95,15 +95,18 @@
     """The example's configuration with other settings, by group."""
     told: dict[str, Any] = json.loads(CONFIG.read_text())
     for group, values in settings.items():
-        told["settings"][group].update(values)
+        before = told["settings"].get(group)
+        told["settings"][group] = {**before, **values} if isinstance(before, dict) else values
     return told
 
 
 @asynccontextmanager
-async def site(workers: int = 1, discovery: Server | None = None, **settings: Any) -> AsyncIterator[Site]:
+async def site(
+    workers: int = 1, discovery: Server | None = None, discovery_mode: str = "ask", **settings: Any
+) -> AsyncIterator[Site]:
     """A running site; everything is closed at the end, and no task may have failed."""
     listing = Discovery()
-    told = document(**settings)
+    told = document(discovery=discovery_mode, **settings)
     await (discovery or listing).start()
     told.update(listen="127.0.0.1:0", mgmt="127.0.0.1:0", discovery=(discovery or listing).address)
     fleet = [Scripted(f"w{number}", "") for number in range(workers)]
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -74,14 +74,14 @@
     """Alone it disturbs nobody."""
     backoff = Backoff(random.Random(1), 1)
     assert backoff.first_ns() == 0
-    assert 0 <= backoff.wait_ns(10 * SECOND) <= SECOND
+    assert 0 <= backoff.wait_ns(0, 10 * SECOND) <= SECOND
 
 
 @given(st.integers(1, 64), st.integers(0, 2**32))
 def test_waits_stay_within_what_the_rule_allows(dispatchers: int, seed: int) -> None:
     """However often it fails."""
     backoff = Backoff(random.Random(seed), dispatchers)
-    assert all(0 <= backoff.wait_ns(10 * SECOND) <= 10 * SECOND for _ in range(40))
+    assert all(0 <= backoff.wait_ns(0, 10 * SECOND) <= 10 * SECOND for _ in range(40))
 
 
 @pytest.mark.parametrize(("dispatchers", "workers"), [(1, 5), (3, 12), (5, 17), (40, 60), (40, 24), (64, 7)])
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,180 @@
+"""The list's one clock: what a silent watch missed counts as told 6 s after it fell silent."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+import random
+from itertools import pairwise
+from typing import Any
+
+import pytest
+
+from example.toy import Message, Server
+from weldquay import interface as api
+from weldquay.fleet import pace
+from weldquay.fleet.pace import Backoff
+from weldquay.logic import Dispatcher
+from weldquay.net import registry
+from weldquay.net.lines import MAX_VALUE, Values
+from weldquay.net.messages import MessageError
+from tests.helpers import MS, SECOND, settings
+from tests.site import site, until
+from tests.test_crowd import WORKERS, Discovery
+
+FLEET = 200
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(("silent_s", "most_s"), [
+    (2.0, 1.6), (2.6, 1.0), (5.0, 0.2), (5.9, 0.2), (6.0, 10.0), (6.25, 10.0)])
+def test_the_spread_after_a_silence_is_what_the_clock_leaves(silent_s: float, most_s: float) -> None:
+    """The whole of that is used, and no more: past the clock it is the herd's."""
+    waits = [Backoff(random.Random(seed), FLEET).wait_ns(100 * SECOND, 10 * SECOND, int(silent_s * SECOND))
+             for seed in range(500)]
+    assert 0.9 * most_s <= max(waits) / SECOND <= most_s
+
+
+def test_only_refusals_past_the_clock_widen_the_spread() -> None:
+    """A refusal within it is asked again within it; an answer ends the clock."""
+    backoff, now_ns = Backoff(random.Random(1), FLEET), 100 * SECOND
+    begun_ns = now_ns - 2600 * MS
+    backoff.wait_ns(now_ns, 10 * SECOND, 2600 * MS)
+    assert all(backoff.wait_ns(now_ns + SECOND, 10 * SECOND) <= 200 * MS for _ in range(50))
+    late = [backoff.wait_ns(begun_ns + 6 * SECOND, 10 * SECOND) for _ in range(50)]
+    assert max(late) > 5 * SECOND
+    backoff.clear()
+    assert max(backoff.wait_ns(begun_ns + 5 * SECOND, 10 * SECOND) for _ in range(50)) > 5 * SECOND
+
+
+def test_an_agent_of_the_own_machine_is_asked_at_once_and_soon_again() -> None:
+    """However many dispatchers there are, and however often it fails."""
+    backoff = Backoff(random.Random(1), FLEET, near=True)
+    assert backoff.first_ns() == 0
+    assert max(backoff.wait_ns(n * SECOND, 10 * SECOND, 2 * SECOND) for n in range(50)) <= 100 * MS
+
+
+@pytest.mark.parametrize("work_ms", [1, 5, 10])
+def test_watches_that_all_fall_silent_at_once_are_open_again_in_time(work_ms: int) -> None:
+    """200 dispatchers, one discovery; each breaks its watch 0.6 s to 2.6 s after the silence began."""
+    draw, discovery, begun_ns = random.Random(work_ms), Discovery(work_ms * MS, 0), 100 * SECOND
+    fleet = [Dispatcher(settings(dispatchers=FLEET, me=me, asks_list=True), me) for me in range(FLEET)]
+    queue: list[tuple[int, int, int, api.Event]] = []
+    for me, one in enumerate(fleet):
+        one.step(SECOND, [api.Membership(api.ListKind.CACHED, WORKERS)])
+        one.step(10 * SECOND, [api.TimerDue(3)])
+        one.step(11 * SECOND, [api.Membership(api.ListKind.DELTA)])
+        at_ns = begun_ns + int((0.6 + 2 * draw.random()) * SECOND)
+        queue.append((at_ns, me, me, api.Membership(api.ListKind.FAILED, silent_ns=2600 * MS)))
+    heapq.heapify(queue)
+    heard, number = dict[int, int](), FLEET
+    while queue:
+        now_ns, _, me, event = heapq.heappop(queue)
+        if isinstance(event, api.Membership) and event.kind is api.ListKind.DELTA:
+            heard[me] = now_ns - begun_ns
+            continue
+        for action in fleet[me].step(now_ns, [event]):
+            number += 1
+            if isinstance(action, api.SetTimer) and action.token == 3:
+                heapq.heappush(queue, (now_ns + action.delay_ns, number, me, api.TimerDue(3)))
+            elif isinstance(action, api.Watch):
+                at_ns, answered = discovery.ask(now_ns)
+                kind = api.ListKind.DELTA if answered else api.ListKind.FAILED
+                heapq.heappush(queue, (at_ns, number, me, api.Membership(kind)))
+    assert len(heard) == FLEET and max(heard.values()) < 5600 * MS
+
+
+LIST: dict[str, Any] = {"revision": 7, "complete": True, "members": [{"id": 'a"}{', "cell": 1}, {"id": "b"}]}
+
+
+@pytest.mark.parametrize("indent", [None, 0, 1, 4])
+@pytest.mark.parametrize("size", [1, 7, 4096])
+def test_values_come_whole_however_they_are_written(indent: int | None, size: int) -> None:
+    """On one line or indented, in pieces of any size, with empty lines between."""
+    text = json.dumps(LIST, indent=indent).encode() + b"\n\n" + b'{"revision":8}\r\n'
+    values, told = Values(), list[bytes]()
+    for at in range(0, len(text), size):
+        told += values.feed(text[at:at + size])
+    assert [json.loads(value) if value else None for value in told] == [LIST, None, {"revision": 8}]
+
+
+@pytest.mark.parametrize("data", [b"x" * MAX_VALUE + b"y", b"[\n" * (MAX_VALUE // 2 + 1) + b"[[\n" * 9])
+def test_bytes_that_make_no_value_are_bounded(data: bytes) -> None:
+    """On one line, or on many."""
+    with pytest.raises(MessageError, match="too long"):
+        Values().feed(data * 2)
+
+
+class Muted(Server):
+    """Discovery whose watches tell the list and then nothing more, not even empty lines."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked: list[tuple[str, float]] = []
+        self.lists: list[bytes] = []  # one for each call; none is left: no answer
+        self.pause_s = 0.0
+
+    async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Count the call, and answer it where there is a list for it."""
+        self.asked.append((message.target, asyncio.get_running_loop().time()))
+        if self.lists:
+            writer.write(HEAD)
+            await asyncio.sleep(self.pause_s)
+            writer.write(b"%x\r\n%s\n\r\n" % (len(self.lists[0]) + 1, self.lists.pop(0)))
+
+
+def listed(revision: int, phase: str, address: str) -> bytes:
+    """A list of one worker, w0."""
+    row = {"id": "w0", "host_port": address, "locality": "here", "flavor": "toy", "cell": 0, "phase": phase,
+           "size": 1.0, "up_since_ms": 0}
+    return json.dumps({"revision": revision, "complete": True, "members": [row]}, indent=1).encode()
+
+
+def test_a_silent_watch_is_asked_anew_within_the_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One of 200 dispatchers: from the revision that it knows, and the drain that it missed is heard of."""
+    monkeypatch.setattr(registry, "BEAT_S", 0.2)
+    monkeypatch.setattr(registry, "LATE_S", 0.1)
+    monkeypatch.setattr(pace, "CLOCK_NS", 2700 * MS)
+
+    async def scenario() -> None:
+        muted = Muted()
+        async with site(discovery=muted, group_size=FLEET) as here:
+            muted.lists += [listed(7, "SERVING", here.workers[0].address),
+                            listed(8, "DRAINING", here.workers[0].address)]
+            here.program.registry.watch()
+            await until(lambda: here.program.registry.revision == 8)
+            (first, first_s), (second, second_s) = muted.asked[-2:]
+            assert (first[-1], second[-1]) == ("1", "7") and second_s - first_s < 2  # 0.5 s unless it stalls
+            assert here.program.counters.counts["lists_silent"] == 1
+            assert (await here.post(left_ms=300)).status == 503
+    asyncio.run(scenario())
+
+
+def test_an_agents_list_is_taken_in_before_anyone_is_served() -> None:
+    """What an agent has counts as told from a process's first moment, though its known list is old."""
+    async def scenario() -> None:
+        muted = Muted()
+        muted.lists, muted.pause_s = [listed(9, "DRAINING", "127.0.0.1:1")], 0.1
+        async with site(discovery=muted, discovery_mode="push") as here:
+            assert here.program.registry.revision == 9
+            assert (await here.post(left_ms=300)).status == 503
+            assert here.workers[0].methods() == []
+    asyncio.run(scenario())
+
+
+def test_a_silent_agent_is_asked_again_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Right after an outage what the agent has counts as told: no ask waits out the outage, or a backoff."""
+    monkeypatch.setattr("weldquay.net.program.LIST_S", 0.5)
+
+    async def scenario() -> None:
+        muted = Muted()
+        async with site(discovery=muted, discovery_mode="push", group_size=FLEET) as here:
+            assert (await here.post()).body == b"TEXT"  # with the list that it was started with
+            asked = len(muted.asked)
+            muted.lists.append(listed(9, "DRAINING", here.workers[0].address))
+            await until(lambda: here.program.registry.revision == 9)
+            assert len(muted.asked) - asked <= 2
+            times = [at_s for _, at_s in muted.asked]
+            assert max(after - before for before, after in pairwise(times)) < 2  # 0.3 s, unless this stalls
+    asyncio.run(scenario())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -390,7 +390,8 @@
             assert (await here.post()).body == b"TEXT"
             await until(lambda: failing.asked >= 2)
             assert here.program.counters.counts["lists_failed"] >= 1
-    monkeypatch.setattr(registry, "SILENCE_S", 0.1)
+    for name in ("BEAT_S", "LATE_S", "ANSWER_S"):
+        monkeypatch.setattr(registry, name, 0.05)
     play(scenario())
 
 
@@ -411,7 +412,7 @@
         async with site(discovery=dripping) as here:
             assert (await here.post()).body == b"TEXT"
             await until(lambda: dripping.asked >= 2)
-    monkeypatch.setattr(registry, "LINE_S", 0.2)
+    monkeypatch.setattr(registry, "VALUE_S", 0.2)
     play(scenario())
 
 
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -94,6 +94,7 @@
     zone: int = 0
     tick_ns: int = 1_000_000
     asks_list: bool = False
+    list_near: bool = False  # an agent on the dispatcher's own machine has the list: asking it costs nothing
     ask_within_ns: int = 10_000_000_000
     may_cancel: bool = False
     may_probe: bool = False
@@ -150,10 +151,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Membership:
-    """News of the worker list."""
+    """News of the worker list.  silent_ns: a watch is broken that told nothing for so long; 0: it ended."""
 
     kind: ListKind
     entries: tuple[WorkerEntry, ...] = ()
+    silent_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -245,7 +245,7 @@
         self.push_rate, self.push_rate_ns = 0.0, 0  # pushes a nanosecond, decayed
         self.interval = Interval()  # how often workers refresh their reports
         self.ask_ns, self.end_ns = -1, math.inf  # when to subscribe (-1: not); when this dispatcher ends
-        self.backoff = Backoff(self.random, settings.dispatchers)
+        self.backoff = Backoff(self.random, settings.dispatchers, settings.list_near)
         self.takes: dict[type, Callable[[Any], object]] = {
             Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
             ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune, Banned: self._ban,
@@ -319,7 +319,7 @@
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
         if event.kind is ListKind.FAILED:
-            self._ask_in(self.backoff.wait_ns(self.settings.ask_within_ns))
+            self._ask_in(self.backoff.wait_ns(self.now_ns, self.settings.ask_within_ns, event.silent_ns))
             return
         self.backoff.clear()
         for entry in event.entries:
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -196,7 +196,8 @@
         mgmt=address("GW_MGMT", mgmt) if mgmt else None,
         seed=_seed(document.get("seed", "0")),
         # Discovery on sockets answers only when asked, whatever mode the deployment's simulator has.
-        settings=replace(settings, asks_list=True, room=_room(document)),
+        settings=replace(
+            settings, asks_list=True, list_near=not settings.asks_list, room=_room(document)),
         class_names=class_names, offered=frozenset(class_names),
         zones=tuple(pairs.items("zones")), kinds=tuple(pairs.items("shapes")),
         report_fields=dict(zip(pairs.items("load_info.fields"), meanings, strict=True)),
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -400,10 +400,10 @@
         """Discovery answers a watch: the list that is known is as new as it tells."""
         self.listed = self.listed or bool(self.worker_numbers)
 
-    def list_failed(self) -> None:
-        """A call to discovery failed, or the watch has ended."""
+    def list_failed(self, silent_ns: int = 0) -> None:
+        """A call to discovery failed, or the watch has ended: silent for so long, or (0) by discovery."""
         self.counters.add("lists_failed")
-        self._tell(api.Membership(api.ListKind.FAILED))
+        self._tell(api.Membership(api.ListKind.FAILED, silent_ns=silent_ns))
 
     def _entry(self, member: Member) -> api.WorkerEntry:
         """A member in the module's numbers and on its clock; a start before the clock's is long ago."""
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -107,6 +107,8 @@
         self.tasks.start(self._reload(), "reloading of the configuration")
         if offered is not None:
             await self._take_over(offered)
+        elif self.config.settings.list_near:
+            await self._until_listed()
         await self.acceptor.accept()
         self._enter(Phase.SERVING)
         if offered is not None and offered.told["out_since"] is not None:
@@ -130,11 +132,15 @@
         self.workers.limit(NEWER_PART)
         for worker_id in offered.told["bans"]:
             self.exchange.ban(worker_id, True)
+        await self._until_listed()
+        await self.handover.finish()
+
+    async def _until_listed(self) -> None:
+        """Wait for what discovery has: what an agent on this machine has counts as told from the start."""
         with suppress(TimeoutError):
             async with asyncio.timeout(LIST_S):
                 while not self.exchange.listed:
                     await asyncio.sleep(LOOK_S)
-        await self.handover.finish()
 
     # --- the other process of this dispatcher, while there is one ---
 
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -1,4 +1,11 @@
-"""The registry: the watch on discovery's list of match workers."""
+"""The registry: the watch on discovery's list of match workers.
+
+Rules: one call at a time; a call that discovery has not answered is waited for as long as its queue may hold
+it.  A watch tells at least an empty line every BEAT_S.  One that tells nothing for LATE_S more is broken and
+asked for anew from the revision that is known, so that all that was missed comes first; when, the decisions
+say.  Where an agent of this machine has the list it answers at once, or is silent while discovery is down: it
+is not waited for.
+"""
 
 from __future__ import annotations
 
@@ -11,15 +18,26 @@
 from weldquay import interface as api
 from weldquay.net.config import Config
 from weldquay.net.exchange import Exchange
+from weldquay.net.lines import Values
 from weldquay.net.messages import MessageError, members, watch_target
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
 
 READ_SIZE = 64 * 1024
-SILENCE_S = 5.0  # a watch tells at least an empty line every 2 s; one silent for this long is dead
-LINE_S = 10.0  # a line is whole by then: one that never ends would pass for a watch that tells of no change
-MAX_LINE = 4 * 1024 * 1024
+BEAT_S = 2.0  # a watch tells at least an empty line so often
+LATE_S = 0.6  # and a line may be so late; what a silent watch misses counts as told 6 s after it fell silent
+ANSWER_S = 3.0  # a call waits for 2 s in discovery's queue at most, and then fails
+NEAR_S = 0.2  # an agent on this machine answers at once: right after an outage what it has counts as told
+VALUE_S = 3.0  # a value is whole by then: one that never ends would pass for a watch that tells of no change
+
+
+class Silent(Exception):
+    """The watch, or discovery before its answer, has told nothing for silent_s."""
+
+    def __init__(self, silent_s: float, answered: bool) -> None:
+        super().__init__(f"silent for {silent_s:.1f} s")
+        self.silent_s, self.answered = silent_s, answered
 
 
 class Registry:
@@ -30,6 +48,8 @@
         self.tasks = Tasks()
         self.revision = config.known.revision
         self.watching: asyncio.Task[None] | None = None
+        self.failures = 0  # in a row
+        self.asked = 0.0
 
     def move(self, config: Config) -> None:
         """Follow discovery to its new address, from the whole list on: its revisions may be counted anew."""
@@ -48,50 +68,81 @@
         await self.tasks.stop()
 
     async def _watch(self) -> None:
+        silent_ns = 0
         try:
             await self._follow()
-        except (OSError, h11.RemoteProtocolError, MessageError) as error:
-            log.info("the watch on discovery ended: %s", error or type(error).__name__)
-        self.exchange.list_failed()
+        except (OSError, h11.RemoteProtocolError, MessageError, Silent) as error:
+            if isinstance(error, Silent):
+                silent_ns = int(error.silent_s * 1e9)
+                self.exchange.counters.add("lists_silent" if error.answered else "lists_unanswered")
+            if not self.failures:  # the first of a row: an outage is told once
+                log.info("the watch on discovery ended: %s", str(error) or type(error).__name__)
+            self.failures += 1
+        self.exchange.list_failed(silent_ns)
 
     async def _follow(self) -> None:
-        """Tell the exchange of each line of a watch, until the watch ends."""
+        """Tell the exchange of each value of a watch, until the watch ends."""
         host, port = self.config.discovery
-        async with asyncio.timeout(SILENCE_S):
-            reader, writer = await asyncio.open_connection(host, port)
+        answer_s = NEAR_S if self.config.settings.list_near else ANSWER_S
+        self.asked = time.monotonic()
+        try:
+            async with asyncio.timeout(answer_s):
+                reader, writer = await asyncio.open_connection(host, port)
+        except TimeoutError:
+            raise Silent(answer_s, answered=False) from None
         try:
             http = h11.Connection(h11.CLIENT)
             writer.write(http.send(h11.Request(
                 method=b"GET", target=watch_target(self.revision),
                 headers=[(b"Host", f"{host}:{port}".encode())])) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            lines, whole_at = bytearray(), time.monotonic()
+            values, whole_at, answered = Values(), time.monotonic(), False
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    left_s = whole_at + LINE_S - time.monotonic()
-                    async with asyncio.timeout(min(SILENCE_S, max(0.0, left_s))):
-                        http.receive_data(await reader.read(READ_SIZE))
+                    if time.monotonic() > whole_at + VALUE_S:
+                        raise MessageError("it tells of nothing whole")
+                    patience_s = BEAT_S + LATE_S if answered else answer_s
+                    http.receive_data(await self._read(reader, patience_s, answered))
                 elif isinstance(event, h11.Response) and event.status_code != 200:
                     raise MessageError(f"it answered {event.status_code}")
                 elif isinstance(event, h11.Response):
-                    self.exchange.list_told()
+                    answered, whole_at = True, time.monotonic()
+                    if not self.config.settings.list_near:  # what an agent has counts as told, so it is read
+                        self.exchange.list_told()
                 elif isinstance(event, h11.Data):
-                    lines += event.data
-                    if len(lines) > MAX_LINE:
-                        raise MessageError("a line is too long")
-                    *whole, lines = lines.split(b"\n")
-                    for line in whole:
-                        self._line(line)
+                    for value in values.feed(event.data):
+                        self._take(value)
                         whole_at = time.monotonic()
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     raise MessageError("it closed")
         finally:
             writer.transport.abort()
 
-    def _line(self, line: bytearray) -> None:
-        if line.strip():
-            told = members(line)
+    @staticmethod
+    async def _read(reader: asyncio.StreamReader, patience_s: float, answered: bool) -> bytes:
+        """What comes next.
+
+        Guards against a dispatcher that stalled: what has come meanwhile is read, though the time is up.
+        """
+        reading = asyncio.ensure_future(reader.read(READ_SIZE))
+        try:
+            await asyncio.wait({reading}, timeout=patience_s)
+            if not reading.done():
+                raise Silent(patience_s, answered)
+            return reading.result()
+        finally:
+            reading.cancel()
+
+    def _take(self, value: bytes) -> None:
+        if self.failures:
+            log.info("discovery answers again after %d calls that failed", self.failures)
+            self.failures = 0
+        if self.asked:
+            self.exchange.counters.peak("longest_list_ms", (time.monotonic() - self.asked) * 1000)
+            self.asked = 0.0
+        if value:
+            told = members(value)
             self.revision = told.revision
             self.exchange.follow(told, api.ListKind.FULL if told.complete else api.ListKind.DELTA)
         self.exchange.list_told()
