Deal turns at cold workers by what makes them fall and by what lapses

Cause: fleet/turns._turn dealt turns from 0.65 of the settings' budget, a third to half of what makes a worker fall by the page (N + 3 sqrt(N) + 3 calls), and four turns in five lapsed: a holder has two calls a second. Ruled out: holders that do not look at their cold worker (a look for each turn changed nothing). Change: turns are cut from 0.65 of that formula, and a dispatcher takes as many more as it will not use, o = 1 / (w - v), 1 to 4; the expected sum stays the paid part whatever the traffic.

--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -4,22 +4,31 @@
 few dispatchers have each their part of that.  Of many a part would hold no job, so they take turns: time
 since the worker's start is cut into slices, and in each slice only those may send that a hash of worker,
 slice and dispatcher ranks first (rendezvous hashing, Thaler and Ravishankar 1998).  So each knows its own
-turns and nobody has to be told.  A turn that is not used lapses.  A window overlaps one slice more than it
-holds, and the parts are cut accordingly: the sum holds in every window, not on average.
+turns and nobody has to be told.  A window overlaps one slice more than it holds, and the parts are cut
+accordingly.
+
+A turn that is not used lapses, and most were: their holder had no call that fits in that slice.  So more
+turns are dealt than the budget pays for, by as much as a dispatcher will not use of them.  Where calls for w
+turns come to it within a slice and it holds v of the paid ones on the mean, it uses w / (1 + v o) of each if
+it takes o times as many: o w / (1 + v o) <= 1 as long as o <= 1 / (w - v).  So the expected sum stays within
+the paid part wherever the traffic is, and a dispatcher with more calls than turns takes only paid ones.
 """
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from functools import lru_cache
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
 LEAST_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
-TURN_NS = 2_500_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
+TURN_NS = 2_000_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
 PART = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
-TURN_PART = 0.65  # the same where turns are taken: a dispatcher knows less of a worker that it meets seldom
+TURN_PART = 0.65  # the same, of what makes it fall, where turns are taken: chance and unlike machines beside
+MOST_OVER = 4.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
 _MASK = 2**64 - 1
+_CHANCE = 0xA0761D6478BD642F  # so that it is drawn apart from the ranks
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,15 +44,28 @@
     multiple: float
     window_ns: int
 
+    @property
+    def slice_ns(self) -> int:
+        """Length of a slice."""
+        return max(1, max(1, self.window_ns) // SLICES)
+
     def share(self, age_ns: float) -> float:
         """Part of its capacity that a worker has at least, so long after its start."""
         risen = min(1.0, max(0.0, age_ns) / self.warm_after_ns) if self.warm_after_ns > 0 else 1.0
         return self.cold_share + (1 - self.cold_share) * risen
 
     def budget_ns(self, age_ns: float, capacity: float) -> float:
-        """Work that pushes a worker of this capacity over within a window, by what it can do at this age."""
+        """Work that the settings allow a worker of this capacity within a window, by what it can do then."""
         return self.multiple * self.share(age_ns) * capacity * max(1, self.window_ns)
 
+    def falls_ns(self, age_ns: float, capacity: float, mean_ns: float) -> float:
+        """Work that pushes it over: N + 3 sqrt(N) + 3 calls of mean work, N being what the settings allow.
+
+        The standing test's page; the rest is slack for chance, as calls come by Poisson.
+        """
+        calls = self.budget_ns(age_ns, capacity) / max(1.0, mean_ns)
+        return (calls + 3 * math.sqrt(calls) + 3) * max(1.0, mean_ns)
+
 
 @dataclass(frozen=True, slots=True)
 class Cold:
@@ -52,7 +74,8 @@
     number: the same at all dispatchers for this start of this worker, None where they have not heard of it at
     one time; age_ns: since its start; capacity: what it can do once warm, in ns of work a ns; me: the
     dispatcher's number, from 0; known_ns: the age from which on this process knows of all that the dispatcher
-    has sent; doubt: how many times slower than that the worker may be.
+    has sent; doubt: how many times slower than that the worker may be; mean_ns: mean work of a call; calls:
+    that come to the dispatcher within a slice, and those that wait; workers: that are cold, with this one.
     """
 
     number: int | None
@@ -62,6 +85,9 @@
     dispatchers: int
     known_ns: int = 0
     doubt: float = 1.0
+    mean_ns: float = 0.0
+    calls: float = 0.0
+    workers: int = 1
 
 
 def room(rule: Rule, cold: Cold, sent: deque[tuple[int, float]]) -> float:
@@ -73,24 +99,28 @@
     budget_ns = rule.budget_ns(cold.age_ns, cold.capacity)
     may_ns, since_ns = PART * budget_ns / cold.dispatchers, cold.age_ns - window_ns + 1
     if cold.number is not None and may_ns < LEAST_NS and cold.dispatchers > 1:  # a part would hold no job
-        may_ns, since_ns = _turn(rule, cold, cold.number, window_ns)
+        may_ns, since_ns = _turn(rule, cold, cold.number)
     while sent and sent[0][0] < since_ns:
         sent.popleft()
     return may_ns - sum(work_ns for _, work_ns in sent)
 
 
-def _turn(rule: Rule, cold: Cold, worker: int, window_ns: int) -> tuple[float, int]:
+def _turn(rule: Rule, cold: Cold, worker: int) -> tuple[float, int]:
     """Work that the dispatcher may send in this slice, and the worker's age at the slice's begin."""
-    slice_ns = max(1, window_ns // SLICES)
-    number = max(0, cold.age_ns) // slice_ns
-    begin_ns = number * slice_ns
+    number = max(0, cold.age_ns) // rule.slice_ns
+    begin_ns = number * rule.slice_ns
     # Guards against a second use of a turn by a process that has just started, and cannot know of the first.
     if begin_ns < cold.known_ns:
         return 0.0, begin_ns
-    whole_ns = TURN_PART * rule.budget_ns(begin_ns, cold.capacity / cold.doubt) / (SLICES + 1)
+    whole_ns = TURN_PART * rule.falls_ns(begin_ns, cold.capacity / cold.doubt, cold.mean_ns) / (SLICES + 1)
     turns = max(1, int(whole_ns / TURN_NS))
-    mine = rank(worker, number, cold.me, cold.dispatchers) < turns
-    return whole_ns / turns if mine else 0.0, begin_ns
+    each_ns = whole_ns / turns
+    spare = cold.calls * cold.mean_ns / each_ns - cold.workers * turns / cold.dispatchers
+    over = max(1.0, min(MOST_OVER, 1 / max(spare, 1 / MOST_OVER)))
+    # A part of a turn is one by chance: the same at each look of this slice.
+    chance = mix(mix(worker ^ _CHANCE) ^ mix(number << 32 | cold.me)) / (_MASK + 1)
+    mine = rank(worker, number, cold.me, cold.dispatchers) + chance < turns * over
+    return each_ns if mine else 0.0, begin_ns
 
 
 @lru_cache(maxsize=4096)  # asked again at each step of a slice, for each cold worker
--- a/weldquay/learnt/running.py
+++ b/weldquay/learnt/running.py
@@ -48,6 +48,10 @@
         self.service[kind] = mean + (value - mean) * max(LEARN, 1 / (samples + 1)), samples + 1
         return (drag + value - mean) / 2 if samples >= KIND_SAMPLES else drag
 
+    def mean(self) -> float:
+        """Mean running time over the classes, in ns."""
+        return sum(self.mean_ns) / len(self.mean_ns)
+
     def pace(self, kind: int) -> float:
         """How many times longer than on a mean machine jobs run on one of this kind."""
         return math.exp(self.slowness.get(kind, (0.0, 0))[0])
--- a/weldquay/logic.py
+++ b/weldquay/logic.py
@@ -223,7 +223,7 @@
         self.random = random.Random(seed)
         self.planner = Planner(settings.room, settings.dispatchers, settings.queue_in_order)
         self.now_ns = self.begun_ns = 0
-        self.rule = _cold_rule(settings)
+        self.rule, self.cold = _cold_rule(settings), 0  # how many workers are cold
         self.workers: dict[int, Worker] = {}
         self.jobs: dict[int, Job] = {}
         self.held: dict[int, Job] = {}
@@ -237,8 +237,7 @@
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
         self.judged_ns, self.awake_ns = 0, -1  # awake_ns: when the next look at time alone is due; -1: never
         self.usual_load: dict[int, float] = {}  # by zone: mean of the loads told lately
-        self.usual_size = FIRST_SLOTS
-        self.probes_left = 0.0  # probes that the traffic so far has paid for
+        self.usual_size, self.probes_left = FIRST_SLOTS, 0.0  # probes that the traffic so far has paid for
         self.running = Running(rules.aim_ns for rules in settings.classes)
         self.turned_away: dict[tuple[object, ...], int] = {}  # births of jobs without a result, oldest first
         self.idle = IdleLimit(settings.conn_idle_ns)
@@ -573,7 +572,8 @@
             common = worker.entry.common if worker.back_ns <= worker.entry.started_ns else None
             worker.cold_ns, worker.cold_room = self.now_ns, room(self.rule, Cold(
                 common, age_ns, slots / self.running.pace(worker.entry.kind), rules.me, rules.dispatchers,
-                self.begun_ns - worker.started_ns, self.running.doubt(worker.entry.kind)), worker.pushed)
+                self.begun_ns - worker.started_ns, self.running.doubt(worker.entry.kind), self.running.mean(),
+                self._rate() * self.rule.slice_ns + len(self.held), self.cold), worker.pushed)
         return worker.cold_room
 
     def _load(self, worker: Worker) -> float:
@@ -743,8 +743,7 @@
                            attempt.job.request.slots, attempt.job.request.memory))
         used = size - (size if worker.free is None else worker.free) + worker.changed
         memory = size - (size if worker.free_memory is None else worker.free_memory) + worker.changed_memory
-        mean_ns = self.running.pace(worker.entry.kind) * sum(self.running.mean_ns) / len(self.running.mean_ns)
-        return seen(size, own, used, memory, mean_ns)
+        return seen(size, own, used, memory, self.running.pace(worker.entry.kind) * self.running.mean())
 
     def _book(self, attempt: Attempt) -> None:
         job, key = attempt.job, (attempt.job.request.request, attempt.number)
@@ -786,6 +785,7 @@
     def _place_held(self) -> None:
         """Place held jobs, dearest first, as far as there is room; give up those that can only be late."""
         told, now, holds = self._told(), self.now_ns, self.planner.by_job
+        self.cold = sum(each.started_ns > now - self.settings.warm_after_ns for each in self.ready)
         blocked: dict[tuple[int, float], float] = {}  # least memory of a like job that found no worker
         for job in sorted(self.held.values(), key=self._dearness, reverse=True):
             need, like = job.request, (job.request.job_class, job.request.slots)
