Split the decision module into a package of layers, the same decisions

What a dispatcher only writes down (jobs, attempts, workers) went to the pure package weldquay/ledger/.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -14,7 +14,7 @@
 import tracemalloc
 
 from weldquay import interface as api
-from weldquay.logic import Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
 from weldquay.planning.figures import Figures
 
 MS, SECOND = 1_000_000, 1_000_000_000
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -13,7 +13,7 @@
 from weldquay import interface as api
 from weldquay.fleet.pace import Backoff
 from weldquay.fleet.subset import LEAST, SHARERS, subset
-from weldquay.logic import Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
 from tests.helpers import MS, SECOND, settings
 
 DISPATCHERS = 40
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -12,7 +12,7 @@
 from weldquay import interface as api
 from weldquay.interface import Effect, Group, Outcome
 from weldquay.learnt.running import Running
-from weldquay.logic import Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
 from tests.helpers import MS, SECOND, Drive, finals, job_class, sends, settings
 
 RISKY = [Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED, Outcome.UNKNOWN]
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -15,7 +15,7 @@
 from weldquay import interface as api
 from weldquay.fleet import pace
 from weldquay.fleet.pace import Backoff
-from weldquay.logic import Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
 from weldquay.net import registry
 from weldquay.net.lines import MAX_VALUE, Values
 from weldquay.net.messages import MessageError
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,7 @@
 
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Scripted, document, job, site, until
-from weldquay import logic
+from weldquay.policy import members as listed
 from weldquay.net import acceptor, exchange, program, registry, workers
 from weldquay.net.workers import MOST_IDLE, Connection, Worker
 
@@ -317,7 +317,7 @@
             known = here.program.workers.known, meeting.worker_numbers, meeting.dispatcher.workers
             assert all(len(each) <= 8 for each in known) and meeting.knows("old0")
             assert (await here.post()).body == b"TEXT"
-    monkeypatch.setattr(logic, "MOST_KEPT", 5)
+    monkeypatch.setattr(listed, "MOST_KEPT", 5)
     monkeypatch.setattr(exchange, "MOST_KEPT", 5)
     play(scenario())
 
--- a/tests/test_water_fill.py
+++ b/tests/test_water_fill.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from weldquay.logic import water_fill
+from weldquay.policy.water_fill import water_fill
 
 PAPER_LOADS = [1.0, 3.0, 4.0, 7.0, 11.0, 12.0, 16.0, 24.0, 32.0]
 LOADS = st.lists(st.floats(-30, 60), min_size=1, max_size=20)
--- a/weldquay/adapter.py
+++ b/weldquay/adapter.py
@@ -15,7 +15,7 @@
 
 from weldquay import interface as api
 from weldquay import wire
-from weldquay.logic import Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
 from weldquay.settings import Pairs, decode_settings
 
 if TYPE_CHECKING:
--- a/weldquay/lab/direct.py
+++ b/weldquay/lab/direct.py
@@ -18,7 +18,7 @@
 from weldquay import interface as api
 from weldquay.lab import load as loads
 from weldquay.lab import model
-from weldquay.logic import Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
 
 NET_NS = 250_000  # one way between any two parties
 KIND_NUMBERS = {"fast": 0, "standard": 1, "old": 2}
--- /dev/null
+++ b/weldquay/ledger/records.py
@@ -0,0 +1,141 @@
+"""A job, an attempt and a worker, as the decisions keep them: what was told, what was sent, what came back.
+
+A worker's load is kept as sums over own changes since its report, not added up at each look.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from weldquay.interface import JobClass, LoadReport, Request, WorkerEntry
+
+SECOND_NS = 1_000_000_000
+LAPSE_NS = 2 * SECOND_NS  # a report older than this no longer speaks for the worker
+TRIAL_NS = SECOND_NS  # a suspect worker is tried again after this, doubling
+OWN = {"entry", "live", "report", "own", "drag", "probe_out", "used_ns"}  # not told to a later process
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request that is owed its answer.  risky is the first attempt that may have run."""
+
+    request: Request
+    rules: JobClass
+    born_ns: int
+    most: int  # attempts
+    due_ns: int = 0
+    attempts: int = 0
+    live: dict[int, Attempt] = field(default_factory=dict)
+    risky: Attempt | None = None
+    stream: bool = False
+    rejected: bool = False  # a worker could not use it
+    refusals: int = 0  # 'full' outcomes; from the second on it waits before it is drawn again
+    wait_ns: int = 0
+    looked_ns: int = 0  # when workers were last probed for it
+    sought_ns: int = 0  # when room was last sought for it
+    looks: int = 0
+    looking: list[Worker] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One push of a job.  It outlives its job until its outcome has come."""
+
+    job: Job
+    number: int
+    worker: Worker
+    sent_ns: int
+    idle_ns: int = 0  # how long the connection it went out on had been idle; 0: a new or a busy one
+    called_off: bool = False
+    started_ns: int = 0  # when it told its start; 0: not told
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """What this dispatcher knows of one worker."""
+
+    entry: WorkerEntry
+    free: float | None = None
+    free_memory: float | None = None
+    size: float = 0.0
+    report: LoadReport | None = None  # as last told
+    report_ns: int = -LAPSE_NS  # when it was last told, new or the same again; long ago at first
+    changes: deque[tuple[int, float, float]] = field(default_factory=deque)  # own (time, slots, memory) since
+    changed: float = 0.0  # sums over changes, and the slots of live: kept, not added up at each look
+    changed_memory: float = 0.0
+    own: float = 0.0
+    live: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    job_sign_ns: int = 0
+    used_ns: int = 0  # when an attempt last ended there and left its connection idle; 0: none, or closed
+    refusals: int = 0  # in a row
+    drag: tuple[float, int] = (0.0, 0)  # logarithm of how many times slower than its kind it was, and when
+    errors: float = 0.0  # of its jobs; each that ends well takes a part of them away
+    rest_ns: int = 0  # until then nothing more after a refusal
+    probe_out: bool = False
+    next_probe_ns: int = 0
+    strikes: int = 0
+    suspect: bool = False
+    trial_ns: int = 0
+    backoff_ns: int = TRIAL_NS
+    back_ns: int = 0  # when operators put it back: it may be as cold as one that started then
+    pushed: deque[tuple[int, float]] = field(default_factory=deque)  # (age, work) while cold
+    cold_room: float = 0.0  # work that may still go there while it is cold, as of cold_ns
+    cold_ns: int = -1
+
+    @property
+    def started_ns(self) -> int:
+        """When it became cold for the last time, as far as is known; 0: long ago."""
+        return max(self.entry.started_ns, self.back_ns)
+
+    def renew(self, now_ns: int) -> None:
+        """A new process: what was known and what it held is void."""
+        self.free, self.report, self.errors, self.rest_ns, self.next_probe_ns = None, None, 0, 0, 0
+        self.forget(now_ns + 1)
+        self.pushed.clear()
+        self.clear()
+
+    def clear(self) -> None:
+        """It has shown that it lives."""
+        self.suspect, self.strikes, self.backoff_ns, self.refusals = False, 0, TRIAL_NS, 0
+
+    def hear(self, now_ns: int, report: LoadReport, cover_ns: int, in_order: bool = False) -> None:
+        """Take in a report; own changes that it cannot have seen yet stay beside it."""
+        free = report.free_slots
+        if free is None and report.held is not None and self.size:
+            free = self.size - report.held
+        if free is None:
+            return
+        busy = report.held if report.held is not None else self.own
+        sample = free + (busy if free >= 0.5 or not self.size else min(busy, self.size))
+        pace = 0.3 if sample > self.size else (0.1 if report.held is not None else 0.002)
+        self.size += (pace if self.size else 1.0) * (sample - self.size)
+        behind = report.queued if report.queued is not None else max(0.0, busy - max(self.size, 1.0))
+        # Slots that are free behind a queue are not to be had: the first that waits needs more of them.
+        blocked = free < 0.5 or (in_order and (report.queued or 0.0) >= 0.5)
+        self.free = -float(round(behind)) if blocked else float(round(free))
+        self.free_memory = report.free_memory
+        self.forget(now_ns - cover_ns)
+
+    def forget(self, before_ns: int) -> None:
+        """Drop own changes older than this."""
+        while self.changes and self.changes[0][0] < before_ns:
+            _, slots, memory = self.changes.popleft()
+            self.changed, self.changed_memory = self.changed - slots, self.changed_memory - memory
+
+    def note_change(self, now_ns: int, slots: float, memory: float) -> None:
+        """Book an own push (positive) or an attempt's end (negative)."""
+        self.changes.append((now_ns, slots, memory))
+        self.changed, self.changed_memory, self.own = (
+            self.changed + slots, self.changed_memory + memory, self.own + slots)
+        self.forget(now_ns - LAPSE_NS)
+
+    def remember(self) -> dict[str, Any]:
+        """What a later process of this dispatcher is to know of it; both read one clock."""
+        return {each.name: getattr(self, each.name) for each in fields(self) if each.name not in OWN}
+
+    def recall(self, memory: dict[str, Any]) -> None:
+        """Take in what an earlier process knew of it, as it came over the wire."""
+        for name, value in memory.items():
+            setattr(self, name, deque(map(tuple, value)) if isinstance(value, list) else value)
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -17,7 +17,8 @@
 from typing import Any, Protocol
 
 from weldquay import interface as api
-from weldquay.logic import MOST_KEPT, Dispatcher
+from weldquay.policy.dispatcher import Dispatcher
+from weldquay.policy.members import MOST_KEPT
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.messages import CallBack, Figures, Member, MemberList
--- /dev/null
+++ b/weldquay/policy/members.py
@@ -0,0 +1,70 @@
+"""The list of workers: following it, asking for it, bans, and what an earlier process knew."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from weldquay.fleet.subset import subset
+from weldquay.interface import Banned, ListKind, Membership, Probe, Recalled, SetTimer, WorkerState
+from weldquay.ledger.records import Worker
+from weldquay.policy.health import Health
+
+MOST_KEPT = 1000  # jobs remembered for their retries (seconds of overload); workers, those that are gone too
+
+
+class Members(Health):
+    """Which workers there are, and which of them this dispatcher turns to first."""
+
+    def _follow(self, event: Membership) -> None:
+        """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
+        if event.kind is ListKind.FAILED:
+            self._ask_in(self.backoff.wait_ns(self.now_ns, self.settings.ask_within_ns, event.silent_ns))
+            return
+        self.backoff.clear()
+        for entry in event.entries:
+            worker = self.workers.setdefault(entry.worker, Worker(entry))
+            restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
+            if restarted:
+                worker.renew(self.now_ns)
+            if restarted or entry.state is WorkerState.GONE:
+                self._rescue(worker)
+        if event.kind in (ListKind.FULL, ListKind.CACHED):
+            named = {entry.worker for entry in event.entries}
+            for worker in self.workers.values():
+                if worker.entry.worker not in named and worker.entry.state is not WorkerState.GONE:
+                    worker.entry = replace(worker.entry, state=WorkerState.GONE)
+                    self._rescue(worker)
+        self._sort()
+
+    def _ask_in(self, wait_ns: int) -> None:
+        self.ask_ns = self.now_ns + wait_ns
+        self.out += [SetTimer(wait_ns, 3)] * (wait_ns > 0)
+
+    def _sort(self) -> None:
+        if len(self.workers) > MOST_KEPT:  # ids that change for years must not add up
+            self.workers = {number: worker for number, worker in self.workers.items()
+                            if worker.live or worker.entry.state is not WorkerState.GONE}
+        self.ready = [worker for number, worker in self.workers.items()
+                      if worker.entry.state is WorkerState.READY and number not in self.banned]
+        at = subset([each.entry.common for each in self.ready], self.settings.me, self.settings.dispatchers)
+        self.home = [self.ready[place] for place in at]
+
+    def _ban(self, event: Banned) -> None:
+        """Operators take a worker out, whatever the list says, or put it back: cold, and tried soon."""
+        worker = self.workers.get(event.worker)
+        (self.banned.add if event.on else self.banned.discard)(event.worker)
+        (self.back.discard if event.on else self.back.add)(event.worker)
+        if worker is not None and not event.on:
+            worker.renew(self.now_ns)
+            worker.back_ns, worker.probe_out = self.now_ns, self.settings.may_probe
+            self.out += [Probe(event.worker)] * worker.probe_out
+        self._sort()
+
+    def remember(self) -> dict[int, dict[str, Any]]:
+        """What a later process of this dispatcher is to know of each worker."""
+        return {number: worker.remember() for number, worker in self.workers.items()}
+
+    def _recall(self, event: Recalled) -> None:
+        if (worker := self.workers.get(event.worker)) is not None:
+            worker.recall(dict(event.memory))
--- /dev/null
+++ b/weldquay/policy/times.py
@@ -0,0 +1,56 @@
+"""How long a job takes, how late it may start, and what it is worth."""
+
+from __future__ import annotations
+
+import math
+
+from weldquay.ledger.records import Attempt, Job, Worker
+from weldquay.policy.state import RATE_TIME_NS, State
+
+COVER_NS = 250_000_000  # a report may be this old when it comes: own pushes of that time count beside it
+
+
+class Times(State):
+    """Judgements of time and worth; nothing is changed but what is learnt."""
+
+    def _expected_ns(self, job: Job) -> float:
+        """Expected running time: the hint, else the mean of the class."""
+        return float(job.request.hint_ns or self.running.mean_ns[job.request.job_class])
+
+    def _last_start_ns(self, job: Job) -> float:
+        """Started later, the job will hardly end in time (half the mean is about its median), or here."""
+        expected_ns = self._expected_ns(job)
+        spare_ns = job.rules.aim_ns + max(0.0, job.rules.stretch - 1) * expected_ns / 2
+        return min(job.born_ns + spare_ns, self.end_ns - expected_ns)
+
+    def _worth(self, job: Job) -> float:
+        """Worth per work."""
+        return job.rules.worth / (1.0 if self.settings.worth_by_work else max(1.0, self._expected_ns(job)))
+
+    def _dearness(self, job: Job) -> float:
+        """The order of held jobs."""
+        return self._worth(job) * (job.rules.late_value if self.now_ns > self._last_start_ns(job) else 1.0)
+
+    def _learn(self, attempt: Attempt, latency_ns: int) -> None:
+        """Learn running times of the class and speeds of the kind."""
+        number, kind = attempt.job.request.job_class, attempt.worker.entry.kind
+        run_ns = max(1, self.now_ns - attempt.started_ns if attempt.started_ns else latency_ns)
+        if attempt.started_ns and (hint_ns := attempt.job.request.hint_ns):
+            self.planner.ran(math.log(run_ns / (hint_ns * self.running.pace(kind))))
+        self.running.learn(number, kind, run_ns)
+        if attempt.started_ns:
+            attempt.worker.drag = (self._drag(attempt.worker) + self._over(attempt)) / 2, self.now_ns
+
+    def _takes_ns(self, job: Job, worker: Worker) -> float:
+        """Expected running time at a worker."""
+        return self._expected_ns(job) * self.running.pace(worker.entry.kind) * math.exp(self.planner.bias)
+
+    def _over(self, attempt: Attempt) -> float:
+        """Logarithm of how many times longer than usual on its kind of machine the attempt has run."""
+        usual_ns = self._expected_ns(attempt.job) * self.running.pace(attempt.worker.entry.kind)
+        return math.log((self.now_ns - attempt.started_ns + COVER_NS) / (usual_ns + COVER_NS))
+
+    def _drag(self, worker: Worker) -> float:
+        """The worker's slowness as its last jobs showed it, and those that run show it already."""
+        last = worker.drag[0] * math.exp((worker.drag[1] - self.now_ns) / RATE_TIME_NS)
+        return max([last, *(self._over(attempt) for attempt in worker.live.values() if attempt.started_ns)])
