Serve held jobs without a hint in the order of their chance to be in time

Ruled out: handovers (nothing ended wrongly at one), cold starts (the loss begins with the overload and ends with it). Cause: policy/times._dearness. Without hints all held jobs are equally dear until they are given up, so the oldest went first: each waited as long as it may, and came too late. By the aim (0.25 s and twice its own running time) a job that waited is in time only if it runs for as long as it waited past its aim. Change: past half of the aim its worth fades with that chance.

--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -611,3 +611,23 @@
             drive.report(worker, 3.0, service_ms=(4000.0 if worker == 1 else 500.0) + number)
     assert drive.dispatcher.workers[1].drag[0] == 0.0
     assert drive.dispatcher.running.service[0][1] == 18  # the three warm ones, six times
+
+
+@pytest.mark.parametrize(("waits_ms", "hint_ns", "order"), [
+    ((1400, 900, 100), 0, [3, 2, 1]), ((400, 300, 100), 0, [1, 2, 3]),
+    ((1400, 900, 100), 800 * MS, [1, 2, 3])])
+def test_held_jobs_that_can_hardly_be_in_time_come_last(
+    waits_ms: tuple[int, ...], hint_ns: int, order: list[int]
+) -> None:
+    """In an overload all would wait their turn and be late; within half of the aim, or with a hint, so."""
+    drive = Drive(settings(classes=(job_class(),), may_probe=False), workers=1)
+    drive.step(*[api.Request(n, 0, 10 * SECOND) for n in (90, 91)])  # they fill the worker
+    begun_ns = drive.now
+    for number, wait_ms in enumerate(waits_ms, start=1):
+        drive.now = begun_ns + (waits_ms[0] - wait_ms) * MS
+        drive.step(api.Request(number, 0, 10 * SECOND, hint_ns=hint_ns))
+    drive.now = begun_ns + waits_ms[0] * MS
+    dispatcher = drive.dispatcher
+    dispatcher.now_ns = drive.now
+    held = sorted(dispatcher.held.values(), key=dispatcher._dearness, reverse=True)
+    assert [job.request.request for job in held] == order
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,4 +1,4 @@
-"""A client's retry is as old as its first try, where its figures tell which try that was (policy.jobs.Jobs._take)."""
+"""A client's retry is as old as its first try, where its figures tell which try that was (policy.jobs)."""
 
 from __future__ import annotations
 
--- a/weldquay/policy/times.py
+++ b/weldquay/policy/times.py
@@ -7,6 +7,7 @@
 from weldquay.ledger.records import Attempt, Job, Worker
 from weldquay.policy.state import RATE_TIME_NS, State
 
+SURE = 0.5  # part of the aim that a job may wait with nothing lost: its worker may start it late
 COVER_NS = 250_000_000  # a report may be this old when it comes: own pushes of that time count beside it
 
 
@@ -28,8 +29,18 @@
         return job.rules.worth / (1.0 if self.settings.worth_by_work else max(1.0, self._expected_ns(job)))
 
     def _dearness(self, job: Job) -> float:
-        """The order of held jobs."""
-        return self._worth(job) * (job.rules.late_value if self.now_ns > self._last_start_ns(job) else 1.0)
+        """The order of held jobs.
+
+        Where no hint tells how long a job runs, the chance that it can still end in time fades as it waits:
+        it has to run for as long as it waited past its aim.  Guards against calls that all wait their turn,
+        and are all late.
+        """
+        if self.now_ns > self._last_start_ns(job):
+            return self._worth(job) * job.rules.late_value
+        past_ns = self.now_ns - job.born_ns - SURE * job.rules.aim_ns
+        if job.request.hint_ns or past_ns <= 0:
+            return self._worth(job)
+        return self._worth(job) * math.exp(-past_ns / self._expected_ns(job))
 
     def _learn(self, attempt: Attempt, latency_ns: int) -> None:
         """Learn running times of the class and speeds of the kind."""
