Give errors types of their own that say what an operator can do

weldquay/errors.py has the root: what happened, where, what to do. Existing errors follow it (configuration: unset, unreadable, wrong, against the site, reload refused; listening; a silent discovery; operators' calls that name nobody or nothing, answered 404 in JSON; the simulator's wire). The start's one line and the log show the remedy. The circle between config and net is gone: bounds of a process stand in weldquay/limits.py, and what a reload would refuse is asked by the tool.

--- a/weldquay/__main__.py
+++ b/weldquay/__main__.py
@@ -32,9 +32,9 @@
         name = os.environ.get("GW_NAME", "")
         older = name and answers(name) and load_kept(os.environ, Kept(name, ".config").read())
         if not older:
-            print(f"weldquay: {error}", file=sys.stderr)
+            print(f"weldquay: {error.advice()}", file=sys.stderr)
             return 2
-        logging.error("the older process's configuration is taken over, since %s", error)
+        logging.error("the older process's configuration is taken over, since %s", error.advice())
         config = older
     return asyncio.run(Program(config).run())
 
--- a/weldquay/cli.py
+++ b/weldquay/cli.py
@@ -82,6 +82,19 @@
     """Write, check and explain configurations."""
 
 
+def refusal(before: dict[str, Any], path: Path) -> str:
+    """Why a running dispatcher would take nothing of the newer file; empty where it would."""
+    from weldquay.net.config import ConfigError, read, reload
+
+    try:
+        reload({"GW_CONFIG": str(path)}, read({}, before))
+    except ConfigError as error:
+        return error.advice()
+    except ValueError as error:
+        return str(error)
+    return ""
+
+
 @config.command()
 @click.argument("files", nargs=-1, type=FILE, required=True)
 @catalogue_option
@@ -237,7 +250,7 @@
         click.echo(each.line())
     if not changes:
         click.echo("no difference")
-    if why := difference.refusal(told[0], newer):
+    if why := refusal(told[0], newer):
         click.echo(f"a running dispatcher would take nothing of it: {why}")
         sys.exit(1)
     sys.exit(any(each.taken is difference.Taken.START for each in changes))
--- a/weldquay/config/catalogue.py
+++ b/weldquay/config/catalogue.py
@@ -11,15 +11,18 @@
 from msgspec import Meta, Struct
 
 from weldquay.config import reading
+from weldquay.errors import OperatorError
 
 Time = Annotated[int, Meta(gt=0)]
 OWN = "catalogues"
 NEAR = 0.82  # likeness from which two names are taken for a slip of the pen
 
 
-class CatalogueError(ValueError):
+class CatalogueError(OperatorError, ValueError):
     """A catalogue that cannot be used; one line says why."""
 
+    remedy = "name one of the catalogues that are listed, or the path of a file of your own"
+
 
 class Kind(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A kind of job: what it is by its nature, and how long its clients wait."""
--- a/weldquay/config/difference.py
+++ b/weldquay/config/difference.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
-from pathlib import Path
 from typing import Any
 
 from weldquay.config.schema import json_text
@@ -56,17 +55,6 @@
     return told
 
 
-def refusal(before: dict[str, Any], path: Path) -> str:
-    """Why a running dispatcher would take nothing of the newer file; empty where it would."""
-    from weldquay.net.config import ConfigError, read, reload
-
-    try:
-        reload({"GW_CONFIG": str(path)}, read({}, before))
-    except (ConfigError, ValueError) as error:
-        return str(error)
-    return ""
-
-
 def _text(value: Any) -> str | None:
     return None if value is MISSING else json_text(value)
 
--- a/weldquay/config/reading.py
+++ b/weldquay/config/reading.py
@@ -15,15 +15,19 @@
 from pathlib import Path
 from typing import Any
 
+from weldquay.errors import OperatorError
+
 LARGEST = 16 * 1024 * 1024  # bytes: a list of 100,000 workers; a larger file is a mistake
 DEEPEST = 64  # levels of nesting; the configuration itself has five
 READ_SIZE = 1 << 20
 Steps = tuple[str | int, ...]  # the way to a value: keys and positions
 
 
-class ReadingError(ValueError):
+class ReadingError(OperatorError, ValueError):
     """A file that cannot be read as a configuration; line and column count from 1, 0: not known."""
 
+    remedy = "correct the file where it is named; `weldquay config check FILE` says the same before a start"
+
     def __init__(self, text: str, line: int = 0, column: int = 0) -> None:
         super().__init__(text)
         self.line, self.column = line, column
--- a/weldquay/config/rules/limits.py
+++ b/weldquay/config/rules/limits.py
@@ -6,9 +6,7 @@
 from typing import Any
 
 from weldquay.config.rules.base import Found, Level, Where, figure, rule, seconds
-from weldquay.net.acceptor import BASE_MB, BYTES_EACH, RESERVE
-from weldquay.net.config import LEAST_MEMORY_MB, LEAST_SOCKETS
-from weldquay.net.messages import MAX_PORT
+from weldquay.limits import BASE_MB, BYTES_EACH, LEAST_MEMORY_MB, LEAST_SOCKETS, MAX_PORT, RESERVE
 
 WORKERS_PART = 0.3  # of the descriptors, as `net/workers.py` reckons
 
--- a/weldquay/config/writer.py
+++ b/weldquay/config/writer.py
@@ -20,7 +20,8 @@
 from weldquay.config import schema
 from weldquay.config.catalogue import Catalogue, fold, near
 from weldquay.config.rules.limits import WORKERS_PART
-from weldquay.net.acceptor import BASE_MB, BYTES_EACH, RESERVE
+from weldquay.errors import OperatorError
+from weldquay.limits import BASE_MB, BYTES_EACH, RESERVE
 
 MS, SECOND = 1_000_000, 1_000_000_000
 PATIENCE = 10.0  # times the wanted time, where nobody says how long clients wait
@@ -29,9 +30,11 @@
 HEADROOM = 3.0
 
 
-class DescriptionError(ValueError):
+class DescriptionError(OperatorError, ValueError):
     """A description from which no sound configuration can be made; the text says what is missing or wrong."""
 
+    remedy = "correct the description at the name that is given, and run the command again"
+
 
 class Kind(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A kind of job of the application; what the catalogue knows need not be told."""
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -17,6 +17,7 @@
 
 import h11
 
+from weldquay.limits import BASE_MB, BYTES_EACH, RESERVE
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Answer, Call, Exchange, Overload, Served
@@ -33,10 +34,7 @@
 MAX_AHEAD = 16 * 1024  # bytes taken in while a call waits; beyond that its client is not read
 WAITING = 1024  # connections in the system's queue; beyond that they come again only after a second
 TAKEN = 8  # connections accepted in one turn of the loop: the others' work goes on in between
-RESERVE = 40  # descriptors for what is neither a client nor a worker, and for connections just accepted
-BYTES_EACH = 128 * 1024  # what a connection may hold at the most: a body, what is read ahead, its objects
 LEAST_CONNECTIONS = 8  # whatever another process holds
-BASE_MB = 20  # what the program holds without clients
 REQUEST_S = 2.6  # from a connection's or a request's first moment to its last byte; bad clients get 3 s
 SWEEP_S = 0.1
 PASS_S = 0.02  # how often a call in hand is looked at that is to be passed on
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -10,7 +10,9 @@
 
 from weldquay import interface as api
 from weldquay.config import reading
-from weldquay.net.messages import MAX_PORT, MemberList, MessageError, member_list
+from weldquay.errors import OperatorError
+from weldquay.limits import LEAST_MEMORY_MB, LEAST_SOCKETS, MAX_PORT
+from weldquay.net.messages import MemberList, MessageError, member_list
 from weldquay.settings import Pairs, decode_settings
 
 if TYPE_CHECKING:
@@ -22,15 +24,38 @@
     "zones", "kinds", "document"}
 AT_START = {"seed", "known"}  # of use at a start only, so a reload need not name their changes
 OPTIONAL = {"room", "origin"}  # may come, go and lack any key
-LEAST_SOCKETS = 128  # below that there is no room for clients and workers side by side
-LEAST_MEMORY_MB = 24  # the program alone holds about 14
-
 
 log = logging.getLogger(__name__)
 
 
-class ConfigError(Exception):
-    """The dispatcher cannot start; the text is one plain line for its operator."""
+class ConfigError(OperatorError):
+    """The dispatcher cannot start, or take in a changed file; the text is one plain line for its operator."""
+
+    remedy = "correct the value that is named; `weldquay config check FILE` lists all that is wrong"
+
+
+class ConfigUnset(ConfigError):
+    """No file is named."""
+
+    remedy = "set GW_CONFIG to the path of the configuration file; example/config.json is one"
+
+
+class ConfigUnreadable(ConfigError):
+    """The file cannot be read, or holds no JSON object."""
+
+    remedy = "see that the file is there, whole and readable for this user; write it anew where it is torn"
+
+
+class SiteMismatch(ConfigError):
+    """The file says otherwise than the facts of the site that GW_CATALOGUE names."""
+
+    remedy = "correct the value, or name another site; `weldquay config explain RULE` tells why"
+
+
+class ReloadRefused(ConfigError):
+    """A running dispatcher cannot take the file in; it goes on with the one that it has."""
+
+    remedy = "put back what is named and send SIGHUP; `weldquay config diff OLD NEW` shows what differs"
 
 
 class Address(NamedTuple):
@@ -67,13 +92,13 @@
     """Read and check the configuration."""
     path = environ.get("GW_CONFIG")
     if not path:
-        raise ConfigError("GW_CONFIG is not set: it names the configuration file")
+        raise ConfigUnset("GW_CONFIG is not set: it names the configuration file")
     try:
         document = reading.parse(reading.decode(reading.read_file(Path(path))))
     except reading.ReadingError as error:
-        raise ConfigError(f"GW_CONFIG: {path}: {error}") from None
+        raise ConfigUnreadable(str(error), f"GW_CONFIG: {path}") from None
     if not isinstance(document, dict):
-        raise ConfigError(f"{path} holds no JSON object")
+        raise ConfigUnreadable("it holds no JSON object", path)
     try:
         if room := environ.get("GW_ROOM"):
             document["room"] = _room_file(room)
@@ -91,7 +116,7 @@
 
     if found := checking.errors(document, catalogue.load(site)):
         more = f" (and {len(found) - 1} more: weldquay config check)" if len(found) > 1 else ""
-        raise ValueError(f"{found[0].rule}: {found[0].path}: {found[0].text}{more}")
+        raise SiteMismatch(f"{found[0].rule}: {found[0].path}: {found[0].text}{more}")
 
 
 def _room_file(path: str) -> dict[str, Any]:
@@ -127,7 +152,7 @@
     _check_whole("", running.document, fresh.document)
     for name in ("zones", "kinds"):
         if getattr(fresh, name)[:len(getattr(running, name))] != getattr(running, name):
-            raise ConfigError(f"{name} may be added to, but not changed, while the dispatcher runs")
+            raise ReloadRefused(f"{name} may be added to, but not changed, while the dispatcher runs")
     fresh = _number_classes(fresh, running)
     names = [each.name for each in fields(Config) if getattr(fresh, each.name) != getattr(running, each.name)]
     moved = replace(running, **{name: getattr(fresh, name) for name in MOVABLE})
@@ -144,7 +169,7 @@
             if name not in AT_START | OPTIONAL and value is not None:
                 at = f"{path}.{name}" if path else name
                 if fresh.get(name) is None:
-                    raise ConfigError(f"missing key {at}")
+                    raise ReloadRefused(f"missing key {at}")
                 _check_whole(at, value, fresh[name])
     elif isinstance(running, list) and isinstance(fresh, list):
         rows = [row for row in running if isinstance(row, dict)]
@@ -153,7 +178,7 @@
             for number, row in enumerate(fresh):
                 _check_whole(f"{path}.{number}", common, row)
     elif _kind(running) is not _kind(fresh):
-        raise ConfigError(f"{path} is no longer a {_kind(running).__name__}: {fresh!r}")
+        raise ReloadRefused(f"{path} is no longer a {_kind(running).__name__}: {fresh!r}")
 
 
 def _kind(value: object) -> type:
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -14,10 +14,11 @@
 import ujson
 
 from weldquay import interface as api
+from weldquay.errors import OperatorError
+from weldquay.limits import MAX_PORT
 from weldquay.settings import load_report
 
 MAX_BODY = 64 * 1024
-MAX_PORT = 65535
 MAX_ID = 128  # characters of a call's id; it becomes part of a path
 MS = 1_000_000
 MAX_MS = 24 * 3600 * 1000  # no call waits for longer than a day
@@ -30,9 +31,11 @@
 }
 
 
-class MessageError(Exception):
+class MessageError(OperatorError):
     """A message that cannot be understood; the text says why."""
 
+    remedy = "look at what its sender speaks: another version, or a service that is no part of this site"
+
 
 @dataclass(frozen=True, slots=True)
 class Job:
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -8,7 +8,9 @@
 from typing import Protocol
 
 import h11
+import ujson
 
+from weldquay.errors import OperatorError
 from weldquay.net.config import Address
 from weldquay.net.counters import Counters
 from weldquay.net.messages import MessageError, OperatorCall, last_answer, operator_call
@@ -23,6 +25,18 @@
 CALL_S = 2.0  # from connecting to the last byte of the answer
 
 
+class UnknownOperation(OperatorError):
+    """A path or method that is no operators' call."""
+
+    remedy = "docs/on-call.md lists the calls; POST changes something, GET only looks"
+
+
+class UnknownWorker(OperatorError):
+    """An id that nobody has."""
+
+    remedy = "use the id as discovery's list gives it; one that was never listed cannot be taken out"
+
+
 class Control(Protocol):
     """What operators may ask for; each answers whether it was done."""
 
@@ -111,12 +125,15 @@
         except h11.RemoteProtocolError as error:
             return last_answer(error.error_status_hint, str(error).encode())
         except MessageError as error:
-            return last_answer(404, str(error).encode())
+            return last_answer(404, ujson.dumps(UnknownOperation(str(error)).told()).encode() + b"\n")
         done = self._do(call)
         self.counters.add(f"operators_{call.verb}" if done else "operators_refused")
         if call.verb != "ready":
             log.info("operators: %s: %s", f"{call.verb} {call.worker}".strip(), "yes" if done else "no")
         status = 200 if done else 404 if call.worker else 503
+        if status == 404:
+            unknown = UnknownWorker("no list and no ban has named it", call.worker)
+            return last_answer(404, ujson.dumps(unknown.told()).encode() + b"\n")
         return last_answer(status, b"yes\n" if done else b"no\n")
 
     def _do(self, call: OperatorCall) -> bool:
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -16,6 +16,7 @@
 from functools import partial
 from typing import Any
 
+from weldquay.errors import OperatorError
 from weldquay.net.acceptor import Acceptor, Passed
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
@@ -46,6 +47,12 @@
 MARK_S = 0.1  # how often the delay of the event loop is measured
 
 
+class CannotListen(OperatorError):
+    """An address that is not to be had: another program has it, or this machine has not."""
+
+    remedy = "end the other program at that address, or change GW_LISTEN or GW_MGMT to one of this machine's"
+
+
 class Phase(Enum):
     """Where the program is between its start and its exit."""
 
@@ -328,7 +335,7 @@
         try:
             await self.start()
         except OSError as error:
-            print(f"weldquay: cannot listen: {error}", file=sys.stderr)
+            print(f"weldquay: {CannotListen(str(error)).advice()}", file=sys.stderr)
             return 1
         gc.freeze()  # what is there now stays: the collector need not look at it again
         gc.callbacks.append(self._measure_collection)
@@ -355,7 +362,7 @@
                 self.config, others = reload(os.environ, self.config)
             except ConfigError as error:
                 self.counters.add("reloads_refused")
-                log.error("the configuration stays as it is: %s", error)
+                log.error("the configuration stays as it is: %s", error.advice())
             else:
                 self.counters.add("reloads")
                 self.kept.write(self.config.document)
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -16,6 +16,7 @@
 import h11
 
 from weldquay import interface as api
+from weldquay.errors import OperatorError
 from weldquay.net.config import Config
 from weldquay.net.exchange import Exchange
 from weldquay.net.lines import Values
@@ -32,11 +33,13 @@
 VALUE_S = 3.0  # a value is whole by then: one that never ends would pass for a watch that tells of no change
 
 
-class Silent(Exception):
+class DiscoverySilent(OperatorError):
     """The watch, or discovery before its answer, has told nothing for silent_s."""
 
-    def __init__(self, silent_s: float, answered: bool) -> None:
-        super().__init__(f"silent for {silent_s:.1f} s")
+    remedy = "see that discovery runs and is reached from here; the last list is used meanwhile"
+
+    def __init__(self, silent_s: float, answered: bool, where: str = "") -> None:
+        super().__init__(f"silent for {silent_s:.1f} s", where)
         self.silent_s, self.answered = silent_s, answered
 
 
@@ -71,12 +74,13 @@
         silent_ns = 0
         try:
             await self._follow()
-        except (OSError, h11.RemoteProtocolError, MessageError, Silent) as error:
-            if isinstance(error, Silent):
+        except (OSError, h11.RemoteProtocolError, MessageError, DiscoverySilent) as error:
+            if isinstance(error, DiscoverySilent):
                 silent_ns = int(error.silent_s * 1e9)
                 self.exchange.counters.add("lists_silent" if error.answered else "lists_unanswered")
             if not self.failures:  # the first of a row: an outage is told once
-                log.info("the watch on discovery ended: %s", str(error) or type(error).__name__)
+                told = error.advice() if isinstance(error, OperatorError) else str(error)
+                log.info("the watch on discovery ended: %s", told or type(error).__name__)
             self.failures += 1
         self.exchange.list_failed(silent_ns)
 
@@ -89,7 +93,7 @@
             async with asyncio.timeout(answer_s):
                 reader, writer = await asyncio.open_connection(host, port)
         except TimeoutError:
-            raise Silent(answer_s, answered=False) from None
+            raise DiscoverySilent(answer_s, answered=False) from None
         try:
             http = h11.Connection(h11.CLIENT)
             writer.write(http.send(h11.Request(
@@ -129,7 +133,7 @@
         try:
             await asyncio.wait({reading}, timeout=patience_s)
             if not reading.done():
-                raise Silent(patience_s, answered)
+                raise DiscoverySilent(patience_s, answered)
             return reading.result()
         finally:
             reading.cancel()
--- a/weldquay/planning/figures.py
+++ b/weldquay/planning/figures.py
@@ -8,12 +8,16 @@
 import msgspec
 from msgspec import Meta
 
+from weldquay.errors import OperatorError
+
 LARGEST = 64 * 1024  # bytes of a file; what is larger is no file of these few keys
 
 
-class FiguresError(ValueError):
+class FiguresError(OperatorError, ValueError):
     """A file that cannot be taken; one line names the key, its value and what would be right."""
 
+    remedy = "correct the key that is named; docs/room.md lists all of them with their bounds"
+
 
 class Figures(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """When room is held, and how much.  Each key may be left out."""
--- a/weldquay/wire.py
+++ b/weldquay/wire.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from weldquay import interface as api
+from weldquay.errors import OperatorError
 from weldquay.settings import load_report
 
 HEADER = struct.Struct("<IIQ")
@@ -33,9 +34,11 @@
 _EVERY_PEER = 0xFFFFFFFF
 
 
-class WireError(Exception):
+class WireError(OperatorError):
     """A frame that does not follow the protocol; the text names what and where."""
 
+    remedy = "start the adapter with the simulator of the same protocol note; nothing else speaks this wire"
+
 
 @dataclass(frozen=True, slots=True)
 class PowerOn:
