Take an empty answer of discovery as the end of a silence, so that the next has its own clock

Found by reading: a watch that was opened anew and told of no change ended no silence for the module (pace.Backoff.told_ns was cleared by a list only), so a second silence found its clock run out and waited for up to 10 s. The first empty line of a watch is now told as a list without changes. An unanswered call is waited for 5 s again, as before: given up sooner, it would cost discovery its work all the same. tests/test_registry.py has the case and fails without the change.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -151,6 +151,25 @@
     asyncio.run(scenario())
 
 
+def test_each_silence_has_a_clock_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Between the two nothing had changed: the answer was an empty line, and it ended the first silence."""
+    monkeypatch.setattr(registry, "BEAT_S", 0.2)
+    monkeypatch.setattr(registry, "LATE_S", 0.1)
+    monkeypatch.setattr(pace, "CLOCK_NS", 600 * MS)
+
+    async def scenario() -> None:
+        muted = Muted()
+        async with site(discovery=muted, group_size=FLEET) as here:
+            address = here.workers[0].address
+            muted.lists += [listed(7, "SERVING", address), b"", b"", b"", listed(8, "DRAINING", address)]
+            here.program.registry.watch()
+            await until(lambda: here.program.registry.revision == 8)
+            times = [at_s for _, at_s in muted.asked[-5:]]
+            assert max(after - before for before, after in pairwise(times)) < 2  # 0.5 s unless it stalls
+            assert here.program.counters.counts["lists_silent"] == 4
+    asyncio.run(scenario())
+
+
 def test_an_agents_list_is_taken_in_before_anyone_is_served() -> None:
     """What an agent has counts as told from a process's first moment, though its known list is old."""
     async def scenario() -> None:
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -20,7 +20,7 @@
 from weldquay.net.config import Config
 from weldquay.net.exchange import Exchange
 from weldquay.net.lines import Values
-from weldquay.net.messages import MessageError, members, watch_target
+from weldquay.net.messages import MemberList, MessageError, members, watch_target
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
@@ -28,7 +28,7 @@
 READ_SIZE = 64 * 1024
 BEAT_S = 2.0  # a watch tells at least an empty line so often
 LATE_S = 0.6  # and a line may be so late; what a silent watch misses counts as told 6 s after it fell silent
-ANSWER_S = 3.0  # a call waits for 2 s in discovery's queue at most, and then fails
+ANSWER_S = 5.0  # a call given up while it waits in discovery's queue costs its work there all the same
 NEAR_S = 0.2  # an agent on this machine answers at once: right after an outage what it has counts as told
 VALUE_S = 3.0  # a value is whole by then: one that never ends would pass for a watch that tells of no change
 
@@ -142,11 +142,12 @@
         if self.failures:
             log.info("discovery answers again after %d calls that failed", self.failures)
             self.failures = 0
-        if self.asked:
+        first = bool(self.asked)
+        if first:
             self.exchange.counters.peak("longest_list_ms", (time.monotonic() - self.asked) * 1000)
             self.asked = 0.0
-        if value:
-            told = members(value)
+        if value or first:  # nothing has changed: an answer too, which ends the silence
+            told = members(value) if value else MemberList(self.revision, False, ())
             self.revision = told.revision
             self.exchange.follow(told, api.ListKind.FULL if told.complete else api.ListKind.DELTA)
         self.exchange.list_told()
