--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -131,11 +131,16 @@
     return json.dumps({"revision": revision, "complete": True, "members": [row]}, indent=1).encode()
 
 
-def test_a_silent_watch_is_asked_anew_within_the_clock(monkeypatch: pytest.MonkeyPatch) -> None:
-    """One of 200 dispatchers: from the revision that it knows, and the drain that it missed is heard of."""
+def hurry(monkeypatch: pytest.MonkeyPatch, clock_ns: int) -> None:
+    """A watch is silent after 0.3 s, and what it missed counts as told after clock_ns."""
     monkeypatch.setattr(registry, "BEAT_S", 0.2)
     monkeypatch.setattr(registry, "LATE_S", 0.1)
-    monkeypatch.setattr(pace, "CLOCK_NS", 2700 * MS)
+    monkeypatch.setattr(pace, "CLOCK_NS", clock_ns)
+
+
+def test_a_silent_watch_is_asked_anew_within_the_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One of 200 dispatchers: from the revision that it knows, and the drain that it missed is heard of."""
+    hurry(monkeypatch, 2700 * MS)
 
     async def scenario() -> None:
         muted = Muted()
@@ -153,9 +158,7 @@
 
 def test_each_silence_has_a_clock_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
     """Between the two nothing had changed: the answer was an empty line, and it ended the first silence."""
-    monkeypatch.setattr(registry, "BEAT_S", 0.2)
-    monkeypatch.setattr(registry, "LATE_S", 0.1)
-    monkeypatch.setattr(pace, "CLOCK_NS", 600 * MS)
+    hurry(monkeypatch, 600 * MS)
 
     async def scenario() -> None:
         muted = Muted()
