--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Scripted, document, job, site, until
 from weldquay.policy import members as listed
-from weldquay.net import acceptor, exchange, program, registry, workers
+from weldquay.net import acceptor, connection, exchange, program, registry, workers
 from weldquay.net.workers import MOST_IDLE, Connection, Worker
 
 Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
@@ -723,7 +723,7 @@
             writer.write(job("c0"))
             await read_message(reader)
             await until(lambda: len(taking.connections) == 1)  # the call-back's has gone
-            (resting,) = taking.among[acceptor.State.RESTING]
+            (resting,) = taking.among[connection.State.RESTING]
             writer.write(job("c1"))
             await writer.drain()
             assert resting.unread() and not taking._make_room()
@@ -780,5 +780,5 @@
                 bad.close()
                 writer.write(job(f"c{number}"))
                 assert (await read_message(reader)).body == b"TEXT"
-            assert acceptor.MAX_HEAD < 20_000
+            assert connection.MAX_HEAD < 20_000
     play(scenario())
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
@@ -88,6 +89,13 @@
     document: dict[str, Any]  # as it was read
 
 
+def numbered(names: tuple[str, ...]) -> dict[str, int]:
+    """Numbers by name as the settings order them; a name that they lack gets the next one."""
+    numbers: defaultdict[str, int] = defaultdict(lambda: len(numbers))
+    numbers.update({name: number for number, name in enumerate(names)})
+    return numbers
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read and check the configuration."""
     path = environ.get("GW_CONFIG")
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -11,15 +11,14 @@
 import logging
 import time
 import zlib
-from collections import defaultdict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any
 
 from weldquay import interface as api
 from weldquay.policy.dispatcher import Dispatcher
 from weldquay.policy.members import MOST_KEPT
-from weldquay.net.config import Config
+from weldquay.net.calls import Answer, Attempt, Call, Failed, Overload, RegistrySide, Served, WorkerSide
+from weldquay.net.config import Config, numbered
 from weldquay.net.counters import Counters
 from weldquay.net.messages import CallBack, Figures, Member, MemberList
 
@@ -29,110 +28,11 @@
 MS = 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Served:
-    """A worker's result."""
-
-    result: str
-
-
-@dataclass(frozen=True, slots=True)
-class Overload:
-    """Not done, and trying again is harmless, best after a wait."""
-
-    retry_after_ns: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """Failed; nothing is promised about the effect."""
-
-
-Answer = Served | Overload | Failed
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A call in hand.  on_answer is called exactly once, unless the client leaves first."""
-
-    id: str
-    number: int
-    payload: object
-    deadline_ns: int
-    on_answer: Callable[[Answer], None]
-    figures: Figures
-    job_class: int
-    rules: api.JobClass
-    opened_ns: int
-    most: int  # attempts
-    open: bool = True
-    sends: int = 0
-    ran: bool = False  # an attempt that has ended may have run
-    live: dict[int, Attempt] = field(default_factory=dict)
-    overdue: asyncio.TimerHandle | None = None
-
-    @property
-    def safe(self) -> bool:
-        """True where the job may run again."""
-        return self.rules.effect is api.Effect.SAFE
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send of a call to a worker, until its one end has been told."""
-
-    call: Call
-    number: int
-    worker: int
-    worker_id: str
-    sent_ns: int
-    deadline_ns: int
-    timer: asyncio.TimerHandle | None = None
-    begun_ns: int = 0  # when its worker told that it runs; 0: not told
-    ended: bool = False
-
-
-class WorkerSide(Protocol):
-    """What the exchange asks of the workers' side."""
-
-    def follow(self, told: MemberList) -> None:
-        """Take in the list, or changes of it."""
-
-    def send(self, attempt: Attempt) -> None:
-        """Start an attempt; its end is told by `attempt_ended`."""
-
-    def give_up(self, attempt: Attempt) -> None:
-        """Tell the worker that nobody waits for an attempt any more."""
-
-    def ban(self, worker_id: str, on: bool) -> None:
-        """Send no new job to a worker any more, or do so again."""
-
-    def forget(self, worker_id: str) -> None:
-        """Drop what is known of a worker that has long gone."""
-
-    def is_telling(self, call: Call) -> bool:
-        """True while a worker is being sent a call, or told that nobody waits for it."""
-
-    def probe(self, worker_id: str) -> None:
-        """Probe a worker; the result is told by `probe_ended`."""
-
-    def close_idle(self, worker_id: str) -> None:
-        """Close the idle connections to a worker."""
-
-
-class RegistrySide(Protocol):
-    """What the exchange asks of the registry's side."""
-
-    def watch(self) -> None:
-        """Ask for the changes of the list; `follow` or `list_failed` answers."""
-
-
 class Exchange:
     """One dispatcher at work: events in, decisions, actions out."""
 
     def __init__(self, config: Config, counters: Counters) -> None:
-        self.config = config
-        self.counters = counters
+        self.config, self.counters = config, counters
         self.workers: WorkerSide
         self.registry: RegistrySide
         self.dispatcher = Dispatcher(config.settings, config.seed)
@@ -149,8 +49,7 @@
         self.worker_names: dict[int, str] = {}
         self.bans: set[str] = set()  # workers that operators took out
         self.listed = False  # discovery has told which workers there are
-        self.zones = _numbers(config.zones)
-        self.kinds = _numbers(config.kinds)
+        self.zones, self.kinds = numbered(config.zones), numbered(config.kinds)
 
     def start(self, workers: WorkerSide, registry: RegistrySide) -> None:
         """Begin with the list that the configuration holds."""
@@ -197,10 +96,9 @@
         return call
 
     def _request(self, call: Call, left_ns: int) -> api.Request:
-        figures = call.figures
-        return api.Request(
-            call.number, call.job_class, left_ns, figures.slots, figures.memory, figures.hint_ns, figures.key,
-            figures.repeat)
+        told = call.figures
+        return api.Request(call.number, call.job_class, left_ns, told.slots, told.memory, told.hint_ns,
+                           told.key, told.repeat)
 
     def retune(self, config: Config) -> None:
         """Take in other settings; calls in hand keep those that they came with."""
@@ -271,8 +169,7 @@
         call.ran = call.ran or not outcome.never_ran
         if outcome is api.Outcome.OK:
             self._answer(call, Served(result))
-        over = not call.open
-        if over and not call.live:
+        if (over := not call.open) and not call.live:
             self.calls.pop(call.number, None)
         self._tell(api.AttemptEnded(
             call.number, attempt.number, attempt.worker, outcome, time.monotonic_ns() - attempt.sent_ns, over,
@@ -501,10 +398,3 @@
         if not attempt.ended:
             self.attempt_ended(attempt, outcome)
             self.workers.give_up(attempt)
-
-
-def _numbers(names: tuple[str, ...]) -> dict[str, int]:
-    """Numbers by name as the settings order them; a name that they lack gets the next one."""
-    numbers: defaultdict[str, int] = defaultdict(lambda: len(numbers))
-    numbers.update({name: number for number, name in enumerate(names)})
-    return numbers
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -17,7 +17,8 @@
 from typing import Any
 
 from weldquay.errors import OperatorError
-from weldquay.net.acceptor import Acceptor, Passed
+from weldquay.net.acceptor import Acceptor
+from weldquay.net.connection import Passed
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -14,7 +14,8 @@
 from weldquay import interface as api
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
-from weldquay.net.exchange import Attempt, Call, Exchange
+from weldquay.net.calls import Attempt, Call
+from weldquay.net.exchange import Exchange
 from weldquay.net.messages import MAX_BODY, Body, Job, Member, MemberList, job_headers, load_in
 from weldquay.net.tasks import Tasks
 
