Answer operators' unknown calls in one place, and drop an argument that nobody gave

Found at the reread of the whole change: two calls in operators.py encoded the same 404; DiscoverySilent took a place that none of its callers named; Rule.slice_ns and falls_ns bounded the same figure twice.

--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -47,7 +47,7 @@
     @property
     def slice_ns(self) -> int:
         """Length of a slice."""
-        return max(1, max(1, self.window_ns) // SLICES)
+        return max(1, self.window_ns // SLICES)
 
     def share(self, age_ns: float) -> float:
         """Part of its capacity that a worker has at least, so long after its start."""
@@ -63,8 +63,9 @@
 
         The standing test's page; the rest is slack for chance, as calls come by Poisson.
         """
-        calls = self.budget_ns(age_ns, capacity) / max(1.0, mean_ns)
-        return (calls + 3 * math.sqrt(calls) + 3) * max(1.0, mean_ns)
+        call_ns = max(1.0, mean_ns)
+        calls = self.budget_ns(age_ns, capacity) / call_ns
+        return (calls + 3 * math.sqrt(calls) + 3) * call_ns
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -37,6 +37,11 @@
     remedy = "use the id as discovery's list gives it; one that was never listed cannot be taken out"
 
 
+def _unknown(error: OperatorError) -> bytes:
+    """The answer to a call that names nobody or nothing."""
+    return last_answer(404, ujson.dumps(error.told()).encode() + b"\n")
+
+
 class Control(Protocol):
     """What operators may ask for; each answers whether it was done."""
 
@@ -125,15 +130,14 @@
         except h11.RemoteProtocolError as error:
             return last_answer(error.error_status_hint, str(error).encode())
         except MessageError as error:
-            return last_answer(404, ujson.dumps(UnknownOperation(str(error)).told()).encode() + b"\n")
+            return _unknown(UnknownOperation(str(error)))
         done = self._do(call)
         self.counters.add(f"operators_{call.verb}" if done else "operators_refused")
         if call.verb != "ready":
             log.info("operators: %s: %s", f"{call.verb} {call.worker}".strip(), "yes" if done else "no")
         status = 200 if done else 404 if call.worker else 503
         if status == 404:
-            unknown = UnknownWorker("no list and no ban has named it", call.worker)
-            return last_answer(404, ujson.dumps(unknown.told()).encode() + b"\n")
+            return _unknown(UnknownWorker("no list and no ban has named it", call.worker))
         return last_answer(status, b"yes\n" if done else b"no\n")
 
     def _do(self, call: OperatorCall) -> bool:
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -38,8 +38,8 @@
 
     remedy = "see that discovery runs and is reached from here; the last list is used meanwhile"
 
-    def __init__(self, silent_s: float, answered: bool, where: str = "") -> None:
-        super().__init__(f"silent for {silent_s:.1f} s", where)
+    def __init__(self, silent_s: float, answered: bool) -> None:
+        super().__init__(f"silent for {silent_s:.1f} s")
         self.silent_s, self.answered = silent_s, answered
 
 
