--- /dev/null
+++ b/tests/test_leaving_workers.py
@@ -0,0 +1,99 @@
+"""A worker told of as leaving, a repeat past its time: nothing begins between decision and first byte."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+
+from example.toy import Message
+from tests.helpers import MS, SECOND, Drive, finals, job_class, sends, settings
+from tests.site import site, until
+from weldquay import interface as api
+
+KEYED: list[dict[str, Any]] = [
+    {"name": "lookup", "aim_ns": 1_000_000_000, "give_up_ns": 5_000_000_000, "effect": "dedup",
+     "group": "all", "window_ns": 400_000_000}]
+
+
+class Held:
+    """A worker's script: it cuts the first attempt off, and answers no DELETE until the gate is open."""
+
+    def __init__(self, worker: Any) -> None:
+        self.gate, self.posts, self.deletes, self.answer = asyncio.Event(), 0, 0, worker.answer
+        self.call: asyncio.Task[Message]
+        worker.answer = self.take
+
+    async def take(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Count, hold or pass on."""
+        if message.method == "POST":
+            self.posts += 1
+            if self.posts == 1:
+                writer.transport.abort()
+                return
+        if message.method == "DELETE":
+            self.deletes += 1
+            await self.gate.wait()
+        await self.answer(message, writer)
+
+
+async def repeat_waits(here: Any) -> Held:
+    """Play a call up to the wait of its repeat for the DELETE of its first attempt."""
+    held = Held(here.workers[0])
+    held.call = asyncio.create_task(here.post(left_ms=3000))
+    calls = here.program.exchange.calls
+    await until(lambda: held.deletes and any(call.sends == 2 for call in calls.values()))
+    return held
+
+
+@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
+def test_a_repeat_that_waits_for_a_delete_is_not_sent_to_a_worker_that_leaves_meanwhile(phase: str) -> None:
+    """The wait lasts up to 2 s; the list's line comes within it."""
+    async def scenario() -> None:
+        async with site(caps={"probes": False}) as here:
+            held = await repeat_waits(here)
+            await here.discovery.change(here.workers[0], phase)
+            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            held.gate.set()
+            assert (await held.call).status == 503
+            assert held.posts == 1
+    asyncio.run(scenario())
+
+
+def test_a_repeat_that_waits_for_a_delete_is_not_sent_after_its_window() -> None:
+    """The worker drops repeats for 0.4 s; the wait for its answer to the DELETE is longer."""
+    async def scenario() -> None:
+        async with site(caps={"probes": False}, services=KEYED, family_info={"class_stretch": [2.0]}) as here:
+            held = await repeat_waits(here)
+            begun = time.monotonic()
+            await until(lambda: time.monotonic() - begun > 0.5)
+            held.gate.set()
+            assert (await held.call).status == 502
+            assert held.posts == 1
+    asyncio.run(scenario())
+
+
+def test_a_repeat_that_found_no_room_within_its_window_is_not_sent_later() -> None:
+    """It was held until a worker had room, and sent then, whatever time had passed."""
+    rules = job_class(effect=api.Effect.KEYED, window_ns=SECOND)
+    drive = Drive(settings(classes=(rules,), may_probe=False), workers=2)
+    (first,) = sends(drive.step(api.Request(1, 0, 9 * SECOND)))
+    for worker in drive.worker_ids:  # no room anywhere by the time that the attempt is lost
+        drive.step(api.Banned(worker))
+    assert not sends(drive.end(first, api.Outcome.RESET))
+    done = drive.run(2 * SECOND)
+    assert not sends(done) and finals(done) == [api.Fail(1)]
+    assert not sends(drive.step(api.Banned(first.worker, False), after=SECOND))
+
+
+def test_a_repeat_says_until_when_it_may_begin() -> None:
+    """Nine tenths of the window from the first attempt that may have run; other attempts have no bound."""
+    rules = job_class(effect=api.Effect.KEYED, window_ns=SECOND)
+    drive = Drive(settings(classes=(rules,), may_probe=False), workers=2)
+    (first,) = sends(drive.step(api.Request(1, 0, 9 * SECOND)))
+    sent_ns = drive.now
+    (again,) = sends(drive.step(
+        api.AttemptEnded(1, 0, first.worker, api.Outcome.RESET, MS, False), after=300 * MS))
+    assert first.begin_by_ns == 0 and again.begin_by_ns == sent_ns + 900 * MS
--- /dev/null
+++ b/tests/test_lingering.py
@@ -0,0 +1,225 @@
+"""Connections that end while bytes are on their way: no answer is taken back, nothing late is sent on."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import Any
+
+import pytest
+
+from example.toy import Message, write_message
+from tests.site import ACCEPTED, Site, job, site, until
+from weldquay.net import acceptor
+from weldquay.net.connection import Connection, State
+
+BIG = "r" * 60_000  # more than the system's buffers below hold
+
+
+def small(here: Site) -> socket.socket:
+    """A client whose system takes in little at a time."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(("127.0.0.1", here.program.acceptor.port))
+    sock.setblocking(False)
+    return sock
+
+
+def large_results(here: Site) -> None:
+    """The worker's results are large, and the system holds little of them at this end."""
+    worker = here.workers[0]
+
+    async def big(message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(ACCEPTED)
+        await worker.tell(message.headers["x-correlation-id"], state="done", result=BIG)
+    worker.script = big
+    assert here.program.acceptor.server is not None
+    for sock in here.program.acceptor.server.sockets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+
+async def accepted(here: Site, sock: socket.socket) -> Connection:
+    """The dispatcher's end of a client's connection."""
+    name = sock.getsockname()
+    found: Connection = await until(lambda: next((
+        each for each in here.program.acceptor.connections
+        if each.writer.get_extra_info("peername") == name), None))
+    return found
+
+
+async def taken(sock: socket.socket, pause_s: float = 0.0) -> bytes:
+    """All that comes until the end of the connection, a piece at a time; a reset is an error."""
+    got, loop = b"", asyncio.get_running_loop()
+    while data := await loop.sock_recv(sock, 2048):
+        got += data
+        await asyncio.sleep(pause_s)
+    return got
+
+
+@pytest.mark.parametrize("behind", [b"x", b"POST /lookup HTTP/1.1\r\n", b"y" * 50_000])
+def test_bytes_behind_the_last_answer_do_not_take_it_back(behind: bytes) -> None:
+    """The answer closes its connection, and is still on its way when more comes."""
+    async def scenario() -> None:
+        async with site() as here:
+            large_results(here)
+            sock = small(here)
+            connection = await accepted(here, sock)
+            here.program.acceptor.closing = True
+            sock.send(job())
+            await until(lambda: connection.leaving)
+            sock.send(behind)
+            got = await taken(sock)
+            assert got.startswith(b"HTTP/1.1 200") and got.endswith(BIG.encode()[-100:])
+            assert got.count(b"r") >= len(BIG)
+            sock.close()
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("half", [True, False])
+def test_a_client_that_reads_slowly_gets_its_whole_answer(
+    half: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Longer than the close lingers, as long as it takes something; also where it has shut its own half."""
+    monkeypatch.setattr(acceptor, "LINGER_S", 0.2)
+
+    async def scenario() -> None:
+        async with site() as here:
+            large_results(here)
+            sock = small(here)
+            connection = await accepted(here, sock)
+            here.program.acceptor.closing = not half
+            sock.send(job())
+            if half:
+                await until(lambda: connection.state is State.RESTING)
+                sock.shutdown(socket.SHUT_WR)
+            await until(lambda: connection.leaving)
+            begun = time.monotonic()
+            got = await taken(sock, 0.03)
+            assert got.count(b"r") >= len(BIG) and time.monotonic() - begun > 0.4
+            sock.close()
+    asyncio.run(scenario())
+
+
+def test_a_client_that_reads_nothing_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After the close has lingered."""
+    monkeypatch.setattr(acceptor, "LINGER_S", 0.2)
+
+    async def scenario() -> None:
+        async with site() as here:
+            large_results(here)
+            sock = small(here)
+            connection = await accepted(here, sock)
+            here.program.acceptor.closing = True
+            sock.send(job())
+            await until(lambda: connection.leaving)
+            await until(lambda: not here.program.acceptor.connections)
+            sock.close()
+    asyncio.run(scenario())
+
+
+def test_a_request_on_a_connection_that_was_just_shut_is_not_sent_on() -> None:
+    """The client finds the end, not a reset, and no answer: it comes again elsewhere."""
+    async def scenario() -> None:
+        async with site() as here:
+            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            sock.send(job("c1"))
+            await loop.sock_recv(sock, 4096)
+            connection = await accepted(here, sock)
+            await until(lambda: connection.state is State.RESTING)
+            here.program.acceptor.begin_closing()
+            sock.send(job("c2"))
+            sock.send(job("c3"))  # a reset connection would refuse this one
+            assert await taken(sock) == b""
+            assert not here.program.exchange.calls and here.workers[0].methods() == ["POST"]
+            sock.close()
+            await until(lambda: not here.program.acceptor.connections)
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("where", ["system", "reader"])
+def test_a_request_that_came_before_the_shutdown_is_answered(where: str) -> None:
+    """It waits at the system, or has been read by the loop and not yet by the connection."""
+    async def scenario() -> None:
+        async with site() as here:
+            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock.setblocking(False)
+            sock.send(job("c1"))
+            await asyncio.get_running_loop().sock_recv(sock, 4096)
+            connection = await accepted(here, sock)
+            await until(lambda: connection.state is State.RESTING)
+            if where == "system":
+                sock.send(job("c2"))
+            else:
+                connection.reader.feed_data(job("c2"))
+            here.program.acceptor.begin_closing()
+            got = await taken(sock)
+            assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got and got.endswith(b"TEXT")
+            sock.close()
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("behind", [0, 200_000])
+@pytest.mark.parametrize(("data", "status"), [
+    (write_message("GET /lookup HTTP/1.1"), b"405"), (write_message("POST /unknown HTTP/1.1"), b"404"),
+    (b"nonsense\r\n\r\n", b"400"),
+    (b"POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n", b"413"),
+    (write_message("GET /_health HTTP/1.1"), b"200")])
+def test_the_last_answer_arrives_whatever_comes_behind_the_request(
+    data: bytes, status: bytes, behind: int
+) -> None:
+    """A client that sends on is read to its end, so that its answer is not lost to a reset."""
+    async def scenario() -> None:
+        async with site() as here:
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            writer.write(data)
+            if behind:
+                await until(lambda: here.program.acceptor.among[State.LEAVING])
+                writer.write(b"z" * behind)
+                await writer.drain()
+            got = await reader.read()
+            assert got.startswith(b"HTTP/1.1 " + status)
+            writer.close()
+            await until(lambda: not here.program.acceptor.connections)
+    asyncio.run(scenario())
+
+
+def test_an_idle_connection_with_a_request_on_it_is_not_timed_out() -> None:
+    """Its time is over in the moment in which its first bytes have come."""
+    async def scenario() -> None:
+        async with site() as here:
+            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock.setblocking(False)
+            connection = await accepted(here, sock)
+            sock.send(job())
+            connection.out_of_time(time.monotonic())
+            got = await asyncio.get_running_loop().sock_recv(sock, 4096)
+            assert got.startswith(b"HTTP/1.1 200")
+            sock.close()
+    asyncio.run(scenario())
+
+
+def test_room_is_made_without_closing_on_what_has_come() -> None:
+    """Neither a connection whose request waits to be read nor one whose answer is still on its way."""
+    async def scenario() -> None:
+        async with site() as here:
+            large_results(here)
+            slow, fresh = small(here), socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            fresh.setblocking(False)
+            slow.send(job("c1"))
+            leaving = await accepted(here, slow)
+            await until(lambda: leaving.state is State.RESTING)
+            here.program.acceptor.closing = True
+            leaving.shut()
+            assert leaving.leaving and leaving.pending()
+            await until(lambda: len(here.program.acceptor.connections) == 2)  # the worker's have ended
+            fresh.send(job("c2"))
+            assert not here.program.acceptor._make_room()
+            assert (await taken(slow)).count(b"r") >= len(BIG)
+            got: Any = await taken(fresh)
+            assert got.startswith(b"HTTP/1.1 200")
+            slow.close()
+            fresh.close()
+    asyncio.run(scenario())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,7 +10,8 @@
 from tests.site import job, site, until
 from weldquay.net import operators, program
 from weldquay.net.kept import Bans
-from weldquay.net.workers import Connection, Worker
+from weldquay.net.outgoing import Connection
+from weldquay.net.workers import Worker
 
 
 def test_callers_that_complete_nothing_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,7 +19,8 @@
 from tests.site import ACCEPTED, Scripted, document, job, site, until
 from weldquay.policy import members as listed
 from weldquay.net import acceptor, connection, exchange, program, registry, workers
-from weldquay.net.workers import MOST_IDLE, Connection, Worker
+from weldquay.net.outgoing import Connection
+from weldquay.net.workers import MOST_IDLE, Worker
 
 Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
 
--- a/weldquay/fleet/pace.py
+++ b/weldquay/fleet/pace.py
@@ -5,9 +5,12 @@
 drawn anew from the whole span up to its bound (full jitter, Brooker 2015).  The bound grows with failures in
 a row, and with the number of dispatchers: together they ask so many times a second, however many they are.
 
-A watch that has fallen silent is no herd and cannot wait so long: what it misses counts as told CLOCK_NS
-after it fell silent (the standing test's page).  The spread of the asks after it is what that clock leaves
-once the silence so far, discovery's queue and a margin are taken off; only failures past the clock widen it.
+All of that within one clock: what a dispatcher without a watch has not heard counts as told CLOCK_NS after
+discovery had it and could be reached, whatever has failed meanwhile (the users' final terms).  The spread of
+the asks is what that clock leaves once the time since the last good news, discovery's queue and a margin are
+taken off.  Where discovery could not be reached at all the clock begins anew; past it a new round begins.
+Only a discovery that is behind with a large fleet's own calls, and ends them late, is given more time.
+docs/design/discovery.md adds the parts up for each kind of failure.
 
 Where an agent on the dispatcher's own machine has the list, asking costs nobody anything, and what the agent
 has counts as told at once: it is asked at the start, and again soon until it answers.
@@ -17,13 +20,16 @@
 
 import random
 
-FIRST_NS = 1_000_000_000  # bound of the first wait where dispatchers are few
-SPACE_NS = 200_000_000  # of the bound for each dispatcher: all of them ask ten times a second, or less
-START_NS = 40_000_000  # the same for the first ask, which finds no queue unless a whole fleet starts
+from weldquay.interface import ListFailure
+
+FIRST_NS = 1_000_000_000  # bound of the wait after a refused connection where dispatchers are few
+SPACE_NS = 200_000_000  # of that bound for each dispatcher: all of them ask ten times a second, or less
+START_NS = 40_000_000  # the same for other asks, which find no queue unless a whole fleet comes at once
 GROWTH = 1.6  # of the bound, at each failure in a row
-CLOCK_NS = 6_000_000_000  # so long after a watch fell silent, what it missed counts as told
+CLOCK_NS = 6_000_000_000  # so long after discovery had a change and could be reached, it counts as told
 QUEUE_NS = 2_000_000_000  # a call waits so long at discovery at most, then fails
 MARGIN_NS = 400_000_000  # of the clock: a dispatcher that is behind, the way there and back
+MOST_NS = CLOCK_NS - QUEUE_NS - MARGIN_NS  # of a spread: with discovery's queue it stays within the clock
 SOON_NS = 200_000_000  # least spread of asks whose clock leaves none
 NEAR_NS = 100_000_000  # between asks of an agent that does not answer: a drain is to be kept within 250 ms
 
@@ -42,25 +48,45 @@
     def __init__(self, draw: random.Random, dispatchers: int, near: bool = False) -> None:
         self.random, self.dispatchers, self.near = draw, dispatchers, near
         self.failures = 0
-        self.told_ns = 0  # when what a silent watch has missed counts as told; past: no clock runs
+        self.told_ns = 0  # when what has been missed counts as told; past: no clock runs
 
-    def first_ns(self) -> int:
+    def first_ns(self, now_ns: int) -> int:
         """How long to wait with the first ask, which is the same moment at all where all start at once."""
-        return 0 if self.near else int(self.random.random() * START_NS * (self.dispatchers - 1))
+        if self.near:
+            return 0
+        self.told_ns = now_ns + CLOCK_NS
+        return int(self.random.random() * min(MOST_NS, START_NS * (self.dispatchers - 1)))
 
     def clear(self) -> None:
         """An ask has succeeded."""
         self.failures = self.told_ns = 0
 
-    def wait_ns(self, now_ns: int, most_ns: int, silent_ns: int = 0) -> int:
-        """How long to wait after a failure, most_ns at most; silent_ns: a watch had told nothing so long."""
-        if silent_ns:
-            self.told_ns = self.told_ns or now_ns - silent_ns + CLOCK_NS
+    def wait_ns(
+        self, now_ns: int, most_ns: int, silent_ns: int = 0, failure: ListFailure = ListFailure.BUSY
+    ) -> int:
+        """How long to wait after a failure, most_ns at most.
+
+        silent_ns: since the last good news, or since the call that failed.
+        """
+        growth, self.failures = GROWTH ** min(self.failures, 20), self.failures + 1
+        told_ns = now_ns - silent_ns + CLOCK_NS
+        if failure is not ListFailure.UNREACHED and self.told_ns > now_ns:
+            told_ns = min(told_ns, self.told_ns)
+        left_ns = max(SOON_NS, told_ns - MARGIN_NS - QUEUE_NS - now_ns)
+        if told_ns <= now_ns:  # it is too late for what was missed first: the next has a clock of its own
+            told_ns, left_ns = now_ns + CLOCK_NS, MOST_NS
+        self.told_ns = told_ns
+        space_ns = SPACE_NS * self.dispatchers
         if self.near:
             bound_ns: float = NEAR_NS
-        elif now_ns < self.told_ns:
-            bound_ns = max(SOON_NS, self.told_ns - MARGIN_NS - QUEUE_NS - now_ns)
+        elif failure is ListFailure.UNREACHED:
+            bound_ns = min(left_ns, max(FIRST_NS, space_ns) * growth)
+        elif failure is ListFailure.BUSY and space_ns > MOST_NS:
+            # What keeps it from working off its queue is this very fleet, and asking sooner costs all of it
+            # more time.  From the second failure on half of the wait is certain.
+            if growth > 1:
+                return int((1 + self.random.random()) / 2 * min(space_ns * growth, max(FIRST_NS, most_ns)))
+            bound_ns = MOST_NS
         else:
-            bound_ns = max(FIRST_NS, SPACE_NS * self.dispatchers) * GROWTH ** min(self.failures, 20)
-            self.failures += 1
+            bound_ns = min(left_ns, max(SOON_NS, START_NS * self.dispatchers) * growth)
         return int(self.random.random() * min(bound_ns, max(FIRST_NS, most_ns)))
--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -25,7 +25,8 @@
 LEAST_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
 TURN_NS = 2_000_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
 PART = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
-TURN_PART = 0.65  # the same, of what makes it fall, where turns are taken: chance and unlike machines beside
+TURN_PART = 0.47  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
+JOB_PART = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
 MOST_OVER = 4.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
 _MASK = 2**64 - 1
 _CHANCE = 0xA0761D6478BD642F  # so that it is drawn apart from the ranks
@@ -59,13 +60,14 @@
         return self.multiple * self.share(age_ns) * capacity * max(1, self.window_ns)
 
     def falls_ns(self, age_ns: float, capacity: float, mean_ns: float) -> float:
-        """Work that pushes it over: N + 3 sqrt(N) + 3 calls of mean work, N being what the settings allow.
+        """Work that pushes it over: N + 2 sqrt(N) + 2 calls of mean work, N being what the settings allow.
 
-        The standing test's page; the rest is slack for chance, as calls come by Poisson.
+        The users' final terms, over the sum of all processes: the rest is slack for chance, as calls come by
+        Poisson.
         """
         call_ns = max(1.0, mean_ns)
         calls = self.budget_ns(age_ns, capacity) / call_ns
-        return (calls + 3 * math.sqrt(calls) + 3) * call_ns
+        return (calls + 2 * math.sqrt(calls) + 2) * call_ns
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,9 +115,11 @@
     # Guards against a second use of a turn by a process that has just started, and cannot know of the first.
     if begin_ns < cold.known_ns:
         return 0.0, begin_ns
-    whole_ns = TURN_PART * rule.falls_ns(begin_ns, cold.capacity / cold.doubt, cold.mean_ns) / (SLICES + 1)
-    turns = max(1, int(whole_ns / TURN_NS))
-    each_ns = whole_ns / turns
+    most_ns = rule.falls_ns(begin_ns, cold.capacity / cold.doubt, cold.mean_ns) / (SLICES + 1)
+    whole_ns = TURN_PART * most_ns
+    # A turn that holds no job is of use to nobody: fewer then, some slices without any.
+    each_ns = max(whole_ns / max(1, int(whole_ns / TURN_NS)), min(most_ns, JOB_PART * cold.mean_ns))
+    turns = whole_ns / each_ns
     spare = cold.calls * cold.mean_ns / each_ns - cold.workers * turns / cold.dispatchers
     over = max(1.0, min(MOST_OVER, 1 / max(spare, 1 / MOST_OVER)))
     # A part of a turn is one by chance: the same at each look of this slice.
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -68,6 +68,14 @@
     FAILED = "failed"
 
 
+class ListFailure(Enum):
+    """How a call to discovery failed; BUSY, also where it is not told: after a wait in discovery's queue."""
+
+    UNREACHED = "unreached"
+    ENDED = "ended"
+    BUSY = "busy"
+
+
 @dataclass(frozen=True, slots=True)
 class JobClass:
     """One class of jobs.  In time means within aim_ns plus stretch times the job's own running time."""
@@ -151,11 +159,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Membership:
-    """News of the worker list.  silent_ns: a watch is broken that told nothing for so long; 0: it ended."""
+    """News of the worker list.
+
+    Of a call that failed: silent_ns since its last good news, or since it was made; and how it failed.
+    """
 
     kind: ListKind
     entries: tuple[WorkerEntry, ...] = ()
     silent_ns: int = 0
+    failure: ListFailure = ListFailure.BUSY
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,11 +299,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; timeout_ns 0 means until the client gives up."""
+    """Start an attempt; timeout_ns 0 means until the client gives up.
+
+    begin_by_ns: begun later on the steps' clock, it could repeat an effect and ends as moot; 0: no limit.
+    """
 
     request: int
     worker: int
     timeout_ns: int = 0
+    begin_by_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -13,11 +14,12 @@
 
 from weldquay.limits import BASE_MB, BYTES_EACH, RESERVE
 from weldquay.net.config import Config
-from weldquay.net.connection import MAX_HEAD, READ_SIZE, Connection, Expected, Passed, State
+from weldquay.net.connection import MAX_HEAD, READ_SIZE, Connection, State
 from weldquay.net.counters import Counters
-from weldquay.net.calls import Answer
+from weldquay.net.calls import Answer, Expected, Passed
 from weldquay.net.exchange import Exchange
 from weldquay.net.messages import figures, job_of
+from weldquay.net.streams import CountingReader
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
@@ -27,6 +29,8 @@
 LEAST_CONNECTIONS = 8  # whatever another process holds
 REQUEST_S = 2.6  # from a connection's or a request's first moment to its last byte; bad clients get 3 s
 SWEEP_S = 0.1
+AHEAD_PART = 8  # of the memory for clients may hold what they have sent ahead
+LOOK_S = 0.01
 LINGER_S = 1.0  # after a refused message the client has this long to read why
 
 
@@ -46,6 +50,8 @@
         self.most_connections = self.full = min(
             config.sockets - config.sockets * 3 // 10 - RESERVE,
             (config.memory_mb - BASE_MB) * 1024 * 1024 // BYTES_EACH)
+        self.ahead = 0  # bytes that clients have sent ahead of calls that wait
+        self.most_ahead = (config.memory_mb - BASE_MB) * 1024 * 1024 // AHEAD_PART
         self.in_hand: set[str] = set()  # ids of the calls in hand
         # Where a newer process takes over, connections between two requests go there, and call-backs that
         # match nothing here; the ids of the older one's open calls are not to be had.
@@ -87,10 +93,21 @@
         for a second then, and call-backs wait with the others.
         """
         assert self.listener is not None
-        self.server = await asyncio.start_server(
-            self._accept, sock=self.listener.dup(), backlog=TAKEN, limit=READ_SIZE)
+        self.server = await asyncio.get_running_loop().create_server(
+            self._protocol, sock=self.listener.dup(), backlog=TAKEN)
         self.listener.listen(WAITING)
 
+    def _protocol(
+        self, ahead: bytes = b"", passed: Passed | None = None, expected: Expected | None = None,
+    ) -> asyncio.StreamReaderProtocol:
+        reader = CountingReader(READ_SIZE)
+        if ahead:
+            reader.feed_data(ahead)
+
+        async def accepted(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._accept(reader, writer, passed, expected)
+        return asyncio.StreamReaderProtocol(reader, accepted)
+
     def stop_accepting(self) -> None:
         """Leave what waits in the system's queue to another process, or to a later `accept`."""
         if self.server is not None:
@@ -139,14 +156,11 @@
         return Expected(self.exchange.adopt(passed.call, told, job, answers.append), answers)
 
     async def _adopt(self, passed: Passed, expected: Expected | None) -> None:
-        reader = asyncio.StreamReader(limit=READ_SIZE)
-        if passed.ahead:
-            reader.feed_data(passed.ahead)
         sock = socket.socket(fileno=passed.file)
         sock.setblocking(False)
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: asyncio.StreamReaderProtocol(
-                reader, partial(self._accept, passed=passed, expected=expected)), sock)
+            await asyncio.get_running_loop().connect_accepted_socket(
+                partial(self._protocol, passed.ahead, passed, expected), sock)
         except OSError:  # the client has gone meanwhile
             sock.close()
             self.forget_call(expected)
@@ -161,32 +175,46 @@
         """Close the connections on which nothing is under way, and the others after their answers."""
         self.closing = True
         for connection in list(self.among[State.RESTING]):
-            if not connection.unread():  # what has come is answered, and that closes
-                connection.writer.close()  # after what is written
+            connection.shut()  # what has come is answered, and that closes
 
     def reopen(self) -> None:
         """Take and keep clients again."""
         self.closing = self.refusing = False
 
-    async def stop(self) -> None:
-        """Close the listener and all connections, answers being written out first."""
-        self.stop_accepting()
-        if self.listener is not None:
-            self.listener.close()
-        for connection in list(self.connections):
-            connection.writer.close()
+    async def stop(self, linger_s: float = LINGER_S) -> None:
+        """Close the listener and all connections, answers being written out first; linger_s at the most.
+
+        Calls that still come get a refusal.  Guards against connections in the system's queue, which a
+        listener that closes would reset with what is on them.
+        """
+        self.closing = self.refusing = True
         try:
-            async with asyncio.timeout(LINGER_S):
+            async with asyncio.timeout(linger_s):
+                while self.server is not None and self._queued():
+                    await asyncio.sleep(LOOK_S)
+                self.stop_accepting()
                 while self.connections:
-                    await asyncio.sleep(0.01)
+                    for connection in [*self.among[State.RESTING], *self.among[State.READING]]:
+                        connection.shut()
+                    await asyncio.sleep(LOOK_S)
         except TimeoutError:  # clients that do not read must not keep the program from its end
             for connection in list(self.connections):
                 connection.abort()
+        self.stop_accepting()
+        if self.listener is not None:
+            self.listener.close()
         await self.tasks.stop()
 
+    def _queued(self) -> bool:
+        """True where connections wait in the system's queue."""
+        assert self.listener is not None
+        poll = select.poll()
+        poll.register(self.listener.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, passed: Passed | None = None,
-        expected: Expected | None = None,
+        self, reader: CountingReader, writer: asyncio.StreamWriter, passed: Passed | None,
+        expected: Expected | None,
     ) -> None:
         if len(self.connections) >= self.most_connections and not self._make_room():
             self.counters.add("clients_over_limit")
@@ -214,9 +242,9 @@
         """
         for state in (State.LEAVING, State.READING, State.RESTING):
             for connection in self.among[state]:
-                if state is State.RESTING and (
-                        connection.writer.transport.get_write_buffer_size() or connection.unread()):
-                    continue  # its answer is still on its way, or its next request has come
+                # Its answer is still on its way, or its request has come.
+                if connection.pending() or (state is not State.LEAVING and connection.unread()):
+                    continue
                 self.counters.add(f"evicted_{state.value}")
                 connection.evict()
                 return True
@@ -230,4 +258,4 @@
             for state, limit_s in ((State.READING, REQUEST_S), (State.LEAVING, LINGER_S)):
                 for connection in list(self.among[state]):
                     if now - connection.since >= limit_s:
-                        connection.out_of_time()
+                        connection.out_of_time(now)
--- a/weldquay/net/calls.py
+++ b/weldquay/net/calls.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from weldquay import interface as api
 from weldquay.net.messages import Figures, MemberList
@@ -69,11 +69,32 @@
     worker_id: str
     sent_ns: int
     deadline_ns: int
+    begin_by_ns: int = 0  # it must have begun by then, or not at all; 0: at any time
     timer: asyncio.TimerHandle | None = None
     begun_ns: int = 0  # when its worker told that it runs; 0: not told
+    written: bool = False  # bytes of it may have gone to the worker
     ended: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """A connection on its way to a newer process: what was read ahead, or its request and what it tells."""
+
+    file: int
+    ahead: bytes
+    resting: bool
+    since: float
+    call: Mapping[str, Any] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """An adopted call whose connection is on its way; an answer that comes before it waits here."""
+
+    call: Call
+    answers: list[Answer]
+
+
 class WorkerSide(Protocol):
     """What the exchange asks of the workers' side."""
 
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -1,37 +1,40 @@
 """A connection that a client or a match worker opened: its requests in, its answers out.
 
 Rules: one request at a time; a call that waits keeps its connection read, as that is how a client's leaving
-shows; what cannot be taken in is answered, then the connection closes.  The acceptor owns it and may end it.
+shows; what cannot be taken in is answered, then the connection closes.  Each end is a lingering close: the
+writing half is shut, what still comes is read and dropped, and only then the connection is closed.  So no
+answer is taken back by a reset, and no request that was read after the shutdown is sent on.  The acceptor
+owns the connection and may end it.
 """
 
 from __future__ import annotations
 
 import asyncio
 import os
-import select
 import time
-from collections.abc import Mapping
 from contextlib import suppress
-from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import h11
 
-from weldquay.net.calls import Answer, Call, Overload, Served
+from weldquay.net.calls import Answer, Call, Expected, Overload, Passed, Served
 from weldquay.net.messages import (
     MAX_BODY, Body, Figures, MessageError, callback, class_name, figures, job_of, last_answer, request_again,
     retry_after,
 )
+from weldquay.net.streams import HUNG_UP, CountingReader, polled, unread
 
 if TYPE_CHECKING:
     from weldquay.net.acceptor import Acceptor
 
 READ_SIZE = 16 * 1024
 MAX_HEAD = 16 * 1024
-MAX_AHEAD = 16 * 1024  # bytes taken in while a call waits; beyond that its client is not read
+MAX_AHEAD = 16 * 1024  # bytes taken in while a call waits; beyond that they count against all clients' share
+MOST_AHEAD = 256 * 1024  # of one client; the rest is dropped, and its connection closes after the answer
 PASS_S = 0.02  # how often a call in hand is looked at that is to be passed on
 MAX_LINGER = 1024 * 1024  # and may send on so much, which is read and dropped
+SLOW_S = 10.0  # a client that takes its last answer slowly has so long; one that takes nothing LINGER_S
 REASONS = {
     200: b"OK", 204: b"No Content", 502: b"Bad Gateway", 503: b"Service Unavailable",
 }
@@ -47,30 +50,11 @@
     LEAVING = "leaving"  # the last answer is out; what still comes is dropped
 
 
-@dataclass(frozen=True, slots=True)
-class Passed:
-    """A connection on its way to a newer process: what was read ahead, or its request and what it tells."""
-
-    file: int
-    ahead: bytes
-    resting: bool
-    since: float
-    call: Mapping[str, Any] | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Expected:
-    """An adopted call whose connection is on its way; an answer that comes before it waits here."""
-
-    call: Call
-    answers: list[Answer]
-
-
 class Connection:
     """A connection that a client or a match worker opened; it carries one request at a time."""
 
     def __init__(
-        self, acceptor: Acceptor, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+        self, acceptor: Acceptor, reader: CountingReader, writer: asyncio.StreamWriter,
         passed: Passed | None, expected: Expected | None,
     ) -> None:
         self.acceptor, self.reader, self.writer = acceptor, reader, writer
@@ -79,14 +63,15 @@
         self.body: list[Body] = []
         self.size = 0
         self.call: Call | None = None
-        self.ahead = 0
-        self.answered = asyncio.Event()
+        self.ahead = 0  # bytes taken in while a call waits
+        self.overrun = False  # more came than is kept: the connection closes after the answer
         self.heard = False  # something has come
         self.passing = False  # it goes to a newer process
         self.expected = expected  # the call of its first request, where that goes on here
         self.state, self.since = State.READING, time.monotonic()
         if passed is not None and passed.call is None:
             self.state, self.since = State.RESTING if passed.resting else State.READING, passed.since
+        self.left_at, self.unsent = 0.0, 0  # since when it leaves, and what of its answer is still here
         acceptor.among[self.state][self] = None
 
     @property
@@ -106,7 +91,7 @@
     def begin_passing(self) -> None:
         """Stop reading, unless in the midst of a request; what was read goes along, by way of `run`."""
         midst = self.state is State.READING and self.heard
-        full = self.call is not None and self.ahead > MAX_AHEAD
+        full = self.call is not None and (self.ahead > MAX_AHEAD or self.overrun)
         if not (self.passing or midst or full or self.leaving or self.writer.is_closing()):
             self.passing = True
             self.writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -121,6 +106,8 @@
             data += more
         acceptor, exchange = self.acceptor, self.acceptor.exchange
         while self.call is not None and (acceptor.pass_on is None or not exchange.may_pass(self.call)):
+            if polled(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
+                return
             await asyncio.sleep(PASS_S)
         if self.call is None:
             self.writer.transport.set_write_buffer_limits(high=0)
@@ -156,33 +143,50 @@
         self.writer.transport.abort()
 
     def unread(self) -> bool:
-        """True where something has come that was not taken in; a closed socket must not be asked."""
-        if self.writer.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        """True where something has come that was not taken in."""
+        return unread(self.reader, self.writer)
+
+    def pending(self) -> bool:
+        """True while a part of an answer has not gone to the system."""
+        return self.writer.transport.get_write_buffer_size() > 0
+
+    def shut(self) -> None:
+        """End the connection where nothing is under way on it; what has come by now is answered first."""
+        if not self.unread():
+            self._leave()
 
     def lost(self) -> None:
         """The connection has ended: a call still in hand loses its client."""
         self.forget()
+        self._count_ahead(0)
         self.acceptor.forget_call(self.expected)
         if self.call is not None:
             self.acceptor.in_hand.discard(self.call.id)
             self.acceptor.exchange.client_gone(self.call)
             self.call = None
 
-    def out_of_time(self) -> None:
+    def _count_ahead(self, size: int) -> None:
+        self.acceptor.ahead += size - self.ahead
+        self.ahead = size
+
+    def out_of_time(self, now: float) -> None:
         """The request took too long, or the last answer is not read."""
-        if self.state is State.READING and self.heard:
+        if self.state is State.LEAVING:
+            left = self.writer.transport.get_write_buffer_size()
+            if left < self.unsent and now - self.left_at < SLOW_S:  # a slow client still takes its answer
+                self.unsent, self.since = left, now
+                return
+            self.abort()
+        elif self.heard:
             self._reject(408, "the request was not whole in time")
-        else:
+        elif not self.unread():
             self.abort()
 
     async def run(self) -> None:
         """Read until the connection ends, while a call waits too: that is how a client's leaving shows."""
         while not self.leaving:
-            await self.writer.drain()
+            if self.call is None:  # a client that does not read must not hide its leaving
+                await self.writer.drain()
             data = await self.reader.read(READ_SIZE)
             if self.passing:
                 await self._pass_on(data)
@@ -192,23 +196,38 @@
             self.heard = self.heard or bool(data)
             if self.state is State.READING:  # what makes progress is not the first to make room
                 self.acceptor.among[State.READING][self] = self.acceptor.among[State.READING].pop(self)
-            self.http.receive_data(data)
             if self.call is None:
+                self.http.receive_data(data)
                 self._advance()
             else:
-                self.ahead += len(data)
-                if self.ahead > MAX_AHEAD:
-                    await self.answered.wait()
+                self._read_ahead(data)
         if self.leaving:  # closed with bytes unread, a socket would take its answer back
             dropped = 0
             while dropped < MAX_LINGER and (data := await self.reader.read(READ_SIZE)):
                 dropped += len(data)
+            self.writer.transport.set_write_buffer_limits(high=0)
+            await self.writer.drain()  # a client that has sent all may still read; the acceptor bounds it
+
+    def _read_ahead(self, data: bytes) -> None:
+        """Take in what comes while a call waits.
+
+        Guards against clients that send without end; they are read on, as else their leaving would not show.
+        """
+        most = self.acceptor.most_ahead
+        if self.ahead + len(data) > MAX_AHEAD and (
+                self.ahead + len(data) > MOST_AHEAD or self.acceptor.ahead + len(data) > most):
+            self.overrun = True
+        if not self.overrun:
+            self._count_ahead(self.ahead + len(data))
+            self.http.receive_data(data)
 
     def _leave(self) -> None:
         """The last answer is written: end the writing half, so that the client sees it, and drop the rest."""
-        self._enter(State.LEAVING)
-        if self.writer.can_write_eof() and not self.writer.is_closing():
-            self.writer.write_eof()
+        if not self.leaving:
+            self._enter(State.LEAVING)
+            self.left_at, self.unsent = self.since, self.writer.transport.get_write_buffer_size()
+            if self.writer.can_write_eof() and not self.writer.is_closing():
+                self.writer.write_eof()
 
     def _advance(self) -> None:
         """Take in what has been read, up to a call that has to wait for its answer."""
@@ -259,10 +278,7 @@
         """Write an answer after which the connection closes, past h11, which costs more than the rest."""
         head = self.request is not None and self.request.method == b"HEAD"
         self.writer.write(last_answer(status, body, head))
-        whole = self.http.their_state is h11.DONE and not self.http.trailing_data[0]
         self._leave()
-        if whole:  # nothing is unread, so closing at once takes nothing back
-            self.writer.close()
 
     def _finish(self) -> None:
         """Act on a whole request."""
@@ -309,8 +325,7 @@
             self._reject(409, "a call with this id is in hand")
             return
         job = job_of(request, body)
-        self.ahead = 0
-        self.answered.clear()
+        self._count_ahead(len(self.http.trailing_data[0]))
         self.call = self.acceptor.exchange.open(job_class, told, job, self._answer)
         if self.call is None:
             self._overload(self.acceptor.config.settings.max_retry_after_ns)
@@ -329,7 +344,6 @@
             self._overload(answer.retry_after_ns)
         else:
             self._write(502, b"failed")
-        self.answered.set()
         if self.state is State.RESTING and self.http.trailing_data[0]:
             self.acceptor.tasks.start(self._go_on(), "the next call of a connection")
 
@@ -353,7 +367,7 @@
         headers = headers or []
         if status != 204:
             headers.append((b"Content-Length", b"%d" % len(body)))
-        if self.acceptor.closing:
+        if self.acceptor.closing or self.overrun:
             headers.append((b"Connection", b"close"))
         data = self.http.send(h11.Response(
             status_code=status, headers=headers, reason=REASONS[status])) or b""
@@ -367,5 +381,3 @@
             self._enter(State.RESTING)
         else:
             self._leave()
-            if not self.http.trailing_data[0]:
-                self.writer.close()  # after what is written
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -263,11 +263,10 @@
 
     def pass_on(self, call: Call) -> dict[str, Any]:
         """End a call here without an answer: a later process goes on with what this tells."""
-        told = {
-            "class": self.config.class_names[call.job_class], "opened_ns": call.opened_ns,
-            "deadline_ns": call.deadline_ns, "sends": call.sends, "attempts": [
-                [each.number, each.worker_id, each.sent_ns, each.deadline_ns, each.begun_ns]
-                for each in call.live.values()]}
+        attempts = [[each.number, each.worker_id, each.sent_ns, each.deadline_ns, each.begun_ns]
+                    for each in call.live.values()]
+        told = {"class": self.config.class_names[call.job_class], "opened_ns": call.opened_ns,
+                "deadline_ns": call.deadline_ns, "sends": call.sends, "attempts": attempts}
         for attempt in list(call.live.values()):
             self._remove(attempt)
             self._tell(api.AttemptEnded(
@@ -288,7 +287,8 @@
         worker = sent_ns = begun_ns = 0
         for number, worker_id, sent_ns, deadline_ns, begun_ns in told["attempts"]:
             worker = self._number(worker_id)
-            self._register(Attempt(call, number, worker, worker_id, sent_ns, deadline_ns, begun_ns=begun_ns))
+            attempt = Attempt(call, number, worker, worker_id, sent_ns, deadline_ns, 0, None, begun_ns, True)
+            self._register(attempt)
         self._tell(api.Adopted(
             self._request(call, call.deadline_ns - now_ns), call.opened_ns, call.sends, worker, sent_ns,
             begun_ns))
@@ -298,10 +298,10 @@
         """Discovery answers a watch: the list that is known is as new as it tells."""
         self.listed = self.listed or bool(self.worker_numbers)
 
-    def list_failed(self, silent_ns: int = 0) -> None:
-        """A call to discovery failed, or the watch has ended: silent for so long, or (0) by discovery."""
+    def list_failed(self, silent_ns: int, failure: api.ListFailure) -> None:
+        """A call to discovery failed, or its watch has ended, so long after its last good news."""
         self.counters.add("lists_failed")
-        self._tell(api.Membership(api.ListKind.FAILED, silent_ns=silent_ns))
+        self._tell(api.Membership(api.ListKind.FAILED, silent_ns=silent_ns, failure=failure))
 
     def _entry(self, member: Member) -> api.WorkerEntry:
         """A member in the module's numbers and on its clock; a start before the clock's is long ago."""
@@ -390,7 +390,7 @@
         deadline_ns = call.deadline_ns
         if action.timeout_ns:
             deadline_ns = min(deadline_ns, now_ns + action.timeout_ns)
-        attempt = Attempt(call, number, action.worker, name, now_ns, deadline_ns)
+        attempt = Attempt(call, number, action.worker, name, now_ns, deadline_ns, action.begin_by_ns)
         self._register(attempt)
         self.workers.send(attempt)
 
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -17,8 +17,8 @@
 from typing import Any
 
 from weldquay.errors import OperatorError
-from weldquay.net.acceptor import Acceptor
-from weldquay.net.connection import Passed
+from weldquay.net.acceptor import LINGER_S, Acceptor
+from weldquay.net.calls import Passed
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
@@ -36,6 +36,7 @@
 # dispatchers that restart one after another are away together for a while; kept long, they bring calls that
 # cannot end here.
 STAY_S = 2.0
+STAY_PART = 0.58  # of the time until all is answered, where deadlines are short: SIGKILL comes sooner then
 LONGEST_S, KILL_S = 3.0, 0.7  # SIGKILL comes after the longest deadline, but this at the most, and some more
 LAST_S = 0.25  # before it, what is still owed is answered: time to write that and to tell workers
 SEEN_S = 0.5  # the front asks for /_health ten times a second, and sends nobody new 0.2 s after a no
@@ -147,7 +148,7 @@
         """Wait for what discovery has: what an agent on this machine has counts as told from the start."""
         with suppress(TimeoutError):
             async with asyncio.timeout(LIST_S):
-                while not self.exchange.listed:
+                while not (self.exchange.listed or self.drain_begun.is_set()):
                     await asyncio.sleep(LOOK_S)
 
     # --- the other process of this dispatcher, while there is one ---
@@ -301,7 +302,7 @@
         self._enter(Phase.DRAINING)
         self.exchange.end(left_s)  # SIGKILL would leave what is owed then without any answer
         if not handed_over:  # else connections go to the newer process after their answers
-            await asyncio.sleep(STAY_S)
+            await asyncio.sleep(min(STAY_S, STAY_PART * left_s))
             self._enter(Phase.CLOSING)
             self.acceptor.begin_closing()
         with suppress(TimeoutError):
@@ -315,7 +316,8 @@
         await self.tasks.stop()
         await self.registry.stop()
         await self.operators.stop()
-        await self.acceptor.stop()
+        now = asyncio.get_running_loop().time()
+        await self.acceptor.stop(min(LINGER_S, max(0.0, last + LAST_S * 0.8 - now)))
         await self.workers.stop()
         self.handover.stop()
         self._enter(Phase.STOPPED)
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -1,10 +1,11 @@
 """The registry: the watch on discovery's list of match workers.
 
-Rules: one call at a time; a call that discovery has not answered is waited for as long as its queue may hold
-it.  A watch tells at least an empty line every BEAT_S.  One that tells nothing for LATE_S more is broken and
-asked for anew from the revision that is known, so that all that was missed comes first; when, the decisions
-say.  Where an agent of this machine has the list it answers at once, or is silent while discovery is down: it
-is not waited for.
+Rules: one call at a time.  A call that discovery has not answered is waited for as long as its queue may hold
+it, connecting included, and two such calls fit in the list's one clock.  A watch tells at least an empty line
+every BEAT_S.  One that tells nothing for LATE_S more, or makes no value whole in VALUE_S, is broken and asked
+for anew from the revision that is known, so that all that was missed comes first; when, the decisions say.
+They are told since when nothing whole has come, and whether discovery was reached.  Where an agent of this
+machine has the list it answers at once, or is silent while discovery is down: it is not waited for.
 """
 
 from __future__ import annotations
@@ -28,7 +29,8 @@
 READ_SIZE = 64 * 1024
 BEAT_S = 2.0  # a watch tells at least an empty line so often
 LATE_S = 0.6  # and a line may be so late; what a silent watch misses counts as told 6 s after it fell silent
-ANSWER_S = 5.0  # a call given up while it waits in discovery's queue costs its work there all the same
+ANSWER_S = 2.4  # discovery holds a call 2 s at most; twice that and the waits between fit in the clock's 6 s
+BUSY_S = 0.5  # a call that discovery ends after so long has waited in its queue
 NEAR_S = 0.2  # an agent on this machine answers at once: right after an outage what it has counts as told
 VALUE_S = 3.0  # a value is whole by then: one that never ends would pass for a watch that tells of no change
 
@@ -43,6 +45,12 @@
         self.silent_s, self.answered = silent_s, answered
 
 
+class NotReached(DiscoverySilent):
+    """No connection to discovery came up in silent_s."""
+
+    remedy = "see that discovery's address is right and that the network lets this machine through to it"
+
+
 class Registry:
     """Discovery as the exchange's RegistrySide.  Every watch is answered; its end is told as a failure."""
 
@@ -53,6 +61,7 @@
         self.watching: asyncio.Task[None] | None = None
         self.failures = 0  # in a row
         self.asked = 0.0
+        self.whole_at = 0.0  # when something whole last came, or the call was made
 
     def move(self, config: Config) -> None:
         """Follow discovery to its new address, from the whole list on: its revisions may be counted anew."""
@@ -71,60 +80,62 @@
         await self.tasks.stop()
 
     async def _watch(self) -> None:
-        silent_ns = 0
+        self.whole_at, failure = time.monotonic(), api.ListFailure.ENDED
         try:
             await self._follow()
         except (OSError, h11.RemoteProtocolError, MessageError, DiscoverySilent) as error:
             if isinstance(error, DiscoverySilent):
-                silent_ns = int(error.silent_s * 1e9)
                 self.exchange.counters.add("lists_silent" if error.answered else "lists_unanswered")
+            if isinstance(error, NotReached) or (self.asked and not isinstance(error, DiscoverySilent)):
+                # It told nothing: it is down and says so at once, or so late that it must be behind.
+                late = time.monotonic() - self.asked > BUSY_S and not isinstance(error, NotReached)
+                failure = api.ListFailure.BUSY if late else api.ListFailure.UNREACHED
             if not self.failures:  # the first of a row: an outage is told once
                 told = error.advice() if isinstance(error, OperatorError) else str(error)
                 log.info("the watch on discovery ended: %s", told or type(error).__name__)
             self.failures += 1
-        self.exchange.list_failed(silent_ns)
+        self.exchange.list_failed(int((time.monotonic() - self.whole_at) * 1e9), failure)
 
     async def _follow(self) -> None:
         """Tell the exchange of each value of a watch, until the watch ends."""
         host, port = self.config.discovery
         answer_s = NEAR_S if self.config.settings.list_near else ANSWER_S
-        self.asked = time.monotonic()
+        asked = self.asked = self.whole_at
         try:
             async with asyncio.timeout(answer_s):
                 reader, writer = await asyncio.open_connection(host, port)
         except TimeoutError:
-            raise DiscoverySilent(answer_s, answered=False) from None
+            raise NotReached(answer_s, answered=False) from None
         try:
             http = h11.Connection(h11.CLIENT)
             writer.write(http.send(h11.Request(
                 method=b"GET", target=watch_target(self.revision),
                 headers=[(b"Host", f"{host}:{port}".encode())])) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            values, whole_at, answered = Values(), time.monotonic(), False
+            values, answered = Values(), False
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    if time.monotonic() > whole_at + VALUE_S:
-                        raise MessageError("it tells of nothing whole")
-                    patience_s = BEAT_S + LATE_S if answered else answer_s
-                    http.receive_data(await self._read(reader, patience_s, answered))
+                    now = time.monotonic()
+                    patience_s = min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now) if answered else (
+                        asked + answer_s - now)
+                    http.receive_data(await self._read(reader, max(0.0, patience_s), answered))
                 elif isinstance(event, h11.Response) and event.status_code != 200:
                     raise MessageError(f"it answered {event.status_code}")
                 elif isinstance(event, h11.Response):
-                    answered, whole_at = True, time.monotonic()
+                    answered = True
                     if not self.config.settings.list_near:  # what an agent has counts as told, so it is read
                         self.exchange.list_told()
                 elif isinstance(event, h11.Data):
                     for value in values.feed(event.data):
                         self._take(value)
-                        whole_at = time.monotonic()
+                        self.whole_at = time.monotonic()
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     raise MessageError("it closed")
         finally:
             writer.transport.abort()
 
-    @staticmethod
-    async def _read(reader: asyncio.StreamReader, patience_s: float, answered: bool) -> bytes:
+    async def _read(self, reader: asyncio.StreamReader, patience_s: float, answered: bool) -> bytes:
         """What comes next.
 
         Guards against a dispatcher that stalled: what has come meanwhile is read, though the time is up.
@@ -133,7 +144,7 @@
         try:
             await asyncio.wait({reading}, timeout=patience_s)
             if not reading.done():
-                raise DiscoverySilent(patience_s, answered)
+                raise DiscoverySilent(time.monotonic() - self.whole_at, answered)
             return reading.result()
         finally:
             reading.cancel()
@@ -148,6 +159,10 @@
             self.asked = 0.0
         if value or first:  # nothing has changed: an answer too, which ends the silence
             told = members(value) if value else MemberList(self.revision, False, ())
+            if told.revision < self.revision and not told.complete:
+                # Guards against changes that are older than the list: they would undo a drain.
+                before, self.revision = self.revision, 0
+                raise MessageError(f"its revision went back from {before} to {told.revision}")
             self.revision = told.revision
             self.exchange.follow(told, api.ListKind.FULL if told.complete else api.ListKind.DELTA)
         self.exchange.list_told()
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -4,25 +4,21 @@
 
 import asyncio
 import logging
-import select
 import time
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-import h11
-
 from weldquay import interface as api
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.calls import Attempt, Call
 from weldquay.net.exchange import Exchange
-from weldquay.net.messages import MAX_BODY, Body, Job, Member, MemberList, job_headers, load_in
+from weldquay.net.messages import Body, Job, Member, MemberList, job_headers, load_in
+from weldquay.net.outgoing import READ_SIZE, Broken, Connection, Moot, NotWritten, Reply
+from weldquay.net.streams import connect
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
 
-READ_SIZE = 64 * 1024
-MAX_HEAD = 16 * 1024
 PROBE_TIMEOUT_S = 1.0  # a worker that stands still must not keep its probe for ever
 GIVE_UP_TIMEOUT_S = 2.0
 ACCEPT_S = 0.6  # a job is taken or turned away within 50 ms, 250 where its worker pauses; connecting counts
@@ -32,100 +28,6 @@
 SWEEP_S = 1.0
 
 
-class NotWritten(Exception):
-    """The request's last byte was never written: the worker has not begun it."""
-
-
-class Broken(Exception):
-    """The connection broke after the request was written and before its answer was whole."""
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A worker's answer."""
-
-    status: int
-    headers: Mapping[bytes, bytes]
-    body: bytes
-
-
-class Connection:
-    """One connection to a worker, for one request at a time."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
-        writer.transport.set_write_buffer_limits(high=0)  # so that drain waits for the last byte
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
-        self.idle_since = 0.0
-
-    async def ask(
-        self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: Body = b""
-    ) -> Reply:
-        """Send a request and read its answer."""
-        parts = self.http.send_with_data_passthrough(
-            h11.Request(method=method, target=target, headers=headers)) or []
-        if body:
-            # h11 passes on what has a length; only its annotation is narrower.
-            parts += self.http.send_with_data_passthrough(h11.Data(data=body)) or []  # type: ignore[arg-type]
-        parts += self.http.send_with_data_passthrough(h11.EndOfMessage()) or []
-        try:
-            self.writer.writelines(parts)
-            await self.writer.drain()
-        except OSError as error:
-            raise NotWritten from error
-        try:
-            return await self._read()
-        except (OSError, h11.RemoteProtocolError) as error:
-            raise Broken from error
-
-    async def _read(self) -> Reply:
-        status, headers, body = 0, dict[bytes, bytes](), bytearray()
-        while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                self.http.receive_data(await self.reader.read(READ_SIZE))
-            elif isinstance(event, h11.Response):
-                status, headers = event.status_code, dict(event.headers)
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY:
-                    raise h11.RemoteProtocolError("the answer is too large")
-            elif isinstance(event, h11.EndOfMessage):
-                return Reply(status, headers, bytes(body))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError("the connection ended before the answer")
-
-    def rest(self) -> bool:
-        """Make ready to lie idle; False where the connection cannot be used again.
-
-        Reading is paused, so that all that happens to an idle connection stays visible at its socket.
-        """
-        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
-            return False
-        if self.reader.at_eof() or self.writer.is_closing():
-            return False
-        self.http.start_next_cycle()
-        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
-        self.idle_since = time.monotonic()
-        return True
-
-    def usable(self) -> bool:
-        """True where nothing has come on the idle connection: neither its end nor stray bytes."""
-        if self.writer.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
-
-    def wake(self) -> None:
-        """Read again."""
-        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
-
-    def abort(self) -> None:
-        """Close at once."""
-        self.writer.transport.abort()
-
-
 @dataclass(slots=True, eq=False)
 class Worker:
     """A match worker as discovery last told of it, with its idle connections, last used last."""
@@ -196,7 +98,8 @@
         """
         if (task := self.sending.get(attempt)) is not None:
             task.cancel()
-        self._tell_given_up(attempt)
+        if attempt.written:  # else there is nothing to give up
+            self._tell_given_up(attempt)
 
     def _tell_given_up(self, attempt: Attempt) -> None:
         if (worker := self.known.get(attempt.worker_id)) is None:
@@ -269,7 +172,10 @@
         wait_s = ACCEPT_S if attempt.call.safe else left_ns / 1e9 + LATE_ANSWER_S
         try:
             async with asyncio.timeout(wait_s):
-                reply = await self._ask(worker, job.method, job.target, headers, job.body, attempt.call)
+                reply = await self._ask(worker, job.method, job.target, headers, job.body, attempt)
+        except Moot:
+            self.counters.add("attempts_not_begun")
+            self.exchange.attempt_ended(attempt, api.Outcome.MOOT)
         except NotWritten:
             self.exchange.attempt_ended(attempt, api.Outcome.CONNECT_FAILED)
         except Broken:
@@ -278,6 +184,9 @@
             if not ended:  # the worker may have taken it all the same: nobody waits for it any more
                 self._tell_given_up(attempt)
         except TimeoutError:
+            if not attempt.written:  # it waited for its connection all the time
+                self.exchange.attempt_ended(attempt, api.Outcome.CONNECT_FAILED)
+                return
             self.counters.add("answers_missing")
             # Guards against connections that fall silent: what may run again must not wait for its deadline.
             if attempt.call.safe and not attempt.begun_ns and not attempt.ended:
@@ -325,20 +234,22 @@
 
     async def _ask(
         self, worker: Worker, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
-        body: Body = b"", new_work: Call | None = None,
+        body: Body = b"", attempt: Attempt | None = None,
     ) -> Reply:
         """One request on an idle connection, or on a new one.
 
         A job that may not run again goes on a new one.  Guards against idle connections that are dropped
         unseen and reset by the next request: whether that ran nobody can tell then.
         """
-        connection = self._idle(worker) if new_work is None or new_work.safe else None
+        connection = self._idle(worker) if attempt is None or attempt.call.safe else None
         if connection is None:
             connection = await self._connect(worker)
         reused = False
         try:
-            if new_work is not None and (worker.banned or worker.member.state is not api.WorkerState.READY):
-                raise NotWritten  # told of its drain, or taken out, while the connection came up
+            if attempt is not None and not self._may_begin(worker, attempt):
+                raise Moot
+            if attempt is not None:
+                attempt.written = True
             reply = await connection.ask(method, target, headers, body)
             reused = connection.rest()
             if reused:
@@ -350,6 +261,18 @@
             if not reused:
                 connection.abort()
 
+    @staticmethod
+    def _may_begin(worker: Worker, attempt: Attempt) -> bool:
+        """True where an attempt may begin now, after all that it had to wait for.
+
+        Guards against what happened meanwhile: the worker was told of as leaving or was taken out, the client
+        has gone, the time for a repeat is over.
+        """
+        return (
+            attempt.call.open and not attempt.ended and not worker.banned
+            and worker.member.state is api.WorkerState.READY
+            and not 0 < attempt.begin_by_ns < time.monotonic_ns())
+
     def _idle(self, worker: Worker) -> Connection | None:
         """An idle connection that may be used again, the last used first."""
         while worker.idle:
@@ -367,7 +290,7 @@
         self.open_connections += 1
         try:
             async with asyncio.timeout(self.config.connect_timeout_ns / 1e9):
-                reader, writer = await asyncio.open_connection(worker.member.host, worker.member.port)
+                reader, writer = await connect(worker.member.host, worker.member.port, READ_SIZE)
         except OSError as error:  # a TimeoutError is one
             self.open_connections -= 1
             self.counters.add("connections_failed")
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -39,7 +39,7 @@
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
         if first and self.settings.asks_list:
-            self._ask_in(self.backoff.first_ns() if self.ready else 0)
+            self._ask_in(self.backoff.first_ns(now_ns) if self.ready else 0)
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
         return self.out
 
@@ -84,7 +84,8 @@
         blocked: dict[tuple[int, float], float] = {}  # least memory of a like job that found no worker
         for job in sorted(self.held.values(), key=self._dearness, reverse=True):
             need, like = job.request, (job.request.job_class, job.request.slots)
-            if now > self._last_start_ns(job) and job.rules.late_value == 0 and need.request not in holds:
+            late = now > self._last_start_ns(job) and job.rules.late_value == 0 and need.request not in holds
+            if late or (job.risky is not None and not self._may_repeat(job, job.risky)):
                 self._answer(job)
                 continue
             if now < job.wait_ns:
--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -143,7 +143,8 @@
             worker.pushed.append((now - worker.started_ns, need.slots * self._expected_ns(job)))
             worker.cold_ns = -1
         self.push_rate, self.push_rate_ns = self._rate() + 1 / RATE_TIME_NS, self.now_ns
-        self.out.append(Send(need.request, worker.entry.worker))
+        by_ns = math.inf if job.risky is None else self._repeat_by_ns(job, job.risky)
+        self.out.append(Send(need.request, worker.entry.worker, 0, 0 if by_ns == math.inf else int(by_ns)))
 
     def _seek(self, job: Job, told: list[Worker]) -> Worker | None:
         """Have room held for a job that found none; the worker whose queue it is to join, if there is one."""
--- a/weldquay/policy/health.py
+++ b/weldquay/policy/health.py
@@ -103,10 +103,14 @@
         """True where the job may be sent again though the attempt may have run."""
         if job.attempts >= job.most or job.stream or job.rejected:
             return False
+        return self.now_ns < self._repeat_by_ns(job, attempt)
+
+    def _repeat_by_ns(self, job: Job, attempt: Attempt) -> float:
+        """Until when the job may be sent again though the attempt may have run."""
         if job.rules.effect is Effect.KEYED:
-            sent_ns = (job.risky or attempt).sent_ns
-            return self.now_ns < sent_ns + job.rules.window_ns * 9 // 10  # margin: the worker's clock
-        return job.rules.effect is Effect.SAFE
+            # The margin is one for the worker's clock.
+            return (job.risky or attempt).sent_ns + job.rules.window_ns * 9 // 10
+        return math.inf if job.rules.effect is Effect.SAFE else 0
 
     def _rescue(self, worker: Worker) -> None:
         """Take back what may be repeated from a worker that stands still; the outcome then redraws it."""
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -19,9 +19,12 @@
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
         if event.kind is ListKind.FAILED:
-            self._ask_in(self.backoff.wait_ns(self.now_ns, self.settings.ask_within_ns, event.silent_ns))
+            self._ask_in(self.backoff.wait_ns(
+                self.now_ns, self.settings.ask_within_ns, event.silent_ns, event.failure))
             return
-        self.backoff.clear()
+        if event.kind is not ListKind.CACHED:  # an ask that is still due would replace a watch that is well
+            self.backoff.clear()
+            self.ask_ns = -1
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
             restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
