--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -77,7 +77,7 @@
 
 def test_a_repeat_that_found_no_room_within_its_window_is_not_sent_later() -> None:
     """It was held until a worker had room, and sent then, whatever time had passed."""
-    rules = job_class(effect=api.Effect.KEYED, window_ns=SECOND)
+    rules = job_class(effect=api.Effect.KEYED, window_ns=SECOND, aim_ns=8 * SECOND)
     drive = Drive(settings(classes=(rules,), may_probe=False), workers=2)
     (first,) = sends(drive.step(api.Request(1, 0, 9 * SECOND)))
     for worker in drive.worker_ids:  # no room anywhere by the time that the attempt is lost
