--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -96,6 +96,58 @@
     assert used > 0.5 * sum(RULE.share(age * SECOND) for age in range(9)) / 9 * CAPACITY / 2
 
 
+def restarts(
+    seed: int, fleet: int, mean_s: float, capacity: float, many: float = 3.0
+) -> tuple[list[float], float]:
+    """Cold starts while processes restart, join late and hand over: the fullest window of each, and the use.
+
+    Each call of a skewed traffic goes to the cold worker where its dispatcher may; a process that ends takes
+    with it what it has sent, but for one in three that hands that on.
+    """
+    draw, windows, used = random.Random(seed), list[float](), 0.0
+    for _ in range(4):
+        weights = [draw.lognormvariate(0, 1) for _ in range(fleet)]
+        began = [draw.choice([-1, -1, draw.randrange(RULE.warm_after_ns)]) for _ in weights]  # some join late
+        ends = [draw.randrange(RULE.warm_after_ns) for _ in weights]
+        own: list[deque[tuple[int, float]]] = [deque() for _ in weights]
+        number, sent = draw.randrange(2**32), list[tuple[int, int]]()
+        could = sum(RULE.share(age * SECOND) for age in range(9)) / 9 * capacity  # work a second
+        rate = many * could / mean_s
+        for at_ns in sorted(draw.randrange(RULE.warm_after_ns) for _ in range(int(rate * 8.9))):
+            me = draw.choices(range(fleet), weights)[0]
+            if at_ns >= ends[me] > began[me]:
+                began[me] = ends[me]
+                if draw.random() > 1 / 3:
+                    own[me].clear()
+                else:
+                    began[me] = -1  # handed over with all that was known
+                ends[me] = RULE.warm_after_ns
+            if at_ns < began[me]:
+                continue
+            work_ns = 1 + int(draw.lognormvariate(-0.4, 0.9) * mean_s * SECOND)
+            cold = Cold(number, at_ns, capacity, me, fleet, max(0, began[me]), 1.0, mean_s * SECOND,
+                        rate * weights[me] / sum(weights), 1)
+            if room(RULE, cold, own[me]) >= work_ns:
+                own[me].append((at_ns, float(work_ns)))
+                sent.append((at_ns, work_ns))
+        windows.append(fullest(sent, capacity, mean_s * SECOND))
+        used += sum(work for _, work in sent) / RULE.warm_after_ns / could / 4
+    return windows, used
+
+
+@pytest.mark.parametrize("fleet", [3, 6, 20, 30, 200])
+@pytest.mark.parametrize(("mean_s", "capacity"), [(0.05, 8.0), (0.5, 4.0), (1.0, 2.0)])
+def test_the_sum_over_a_fleet_that_restarts_pushes_nobody_over(
+    fleet: int, mean_s: float, capacity: float
+) -> None:
+    """N + 2 sqrt(N) + 2 calls of mean work over all processes, however traffic and restarts are spread."""
+    windows, used = list[float](), 0.0
+    for seed in range(3 if mean_s < 0.1 else 10):
+        more, part = restarts(seed, fleet, mean_s, capacity)
+        windows, used = windows + more, used + part
+    assert max(windows) < 1 and used > 0
+
+
 def test_forty_dispatchers_with_enough_jobs_use_a_part_of_it() -> None:
     """Divided by forty the budget holds no job at all, and a replaced worker stands idle until it is warm."""
     draw, used = random.Random(5), 0.0
--- /dev/null
+++ b/tests/test_two_settings.py
@@ -0,0 +1,100 @@
+"""One process, two deployments' documents one after another: nothing of the first is applied later."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.site import document, site, until
+from weldquay.interface import Effect
+from weldquay.net.config import load, read, reload
+
+FIRST: dict[str, Any] = {
+    "services": [
+        {"name": "lookup", "aim_ns": 1_000_000_000, "give_up_ns": 5_000_000_000, "effect": "retryable"},
+        {"name": "import", "aim_ns": 900_000_000_000, "give_up_ns": 990_000_000_000, "effect": "fragile"}],
+}
+SECOND: dict[str, Any] = {
+    "services": [
+        {"name": "import", "aim_ns": 200_000_000, "give_up_ns": 700_000_000, "effect": "dedup",
+         "group": "all", "window_ns": 300_000_000, "worth": 9.0},
+        {"name": "scan", "aim_ns": 300_000_000, "give_up_ns": 800_000_000, "effect": "fragile", "worth": 2.0},
+        {"name": "print", "aim_ns": 400_000_000, "give_up_ns": 900_000_000, "effect": "retryable"}],
+    "group_size": 20, "me": 7, "caps": {"max_attempts": 2, "max_open": 7, "max_retry_after_ns": 123_000_000},
+    "safety": {"fall_multiple": 4.5, "overload_for_ns": 777_000_000, "cold_share": 0.11},
+}
+
+
+def written(path: Path, settings: dict[str, Any], **more: Any) -> Path:
+    """A document in a file."""
+    told = document(**settings) | more
+    told["settings"]["family_info"].pop("class_stretch")
+    path.write_text(json.dumps(told))
+    return path
+
+
+def test_a_document_read_after_another_is_read_as_if_it_were_the_first(tmp_path: Path) -> None:
+    """No default, cache or number is left from the one before."""
+    one, two = written(tmp_path / "a", FIRST), written(tmp_path / "b", SECOND)
+    alone = load({"GW_CONFIG": str(two)})
+    for _ in range(2):
+        load({"GW_CONFIG": str(one)})
+        assert load({"GW_CONFIG": str(two)}) == alone
+    assert [each.effect for each in alone.settings.classes] == [Effect.KEYED, Effect.UNSAFE, Effect.SAFE]
+
+
+def test_a_reload_applies_only_the_new_rules(tmp_path: Path) -> None:
+    """By name: a class that stays has its new effect and limits, one that went is offered no more."""
+    one, two = written(tmp_path / "a", FIRST), written(tmp_path / "b", SECOND)
+    running = load({"GW_CONFIG": str(one)})
+    moved, others = reload({"GW_CONFIG": str(two)}, running)
+    fresh = load({"GW_CONFIG": str(two)})
+    by_name = dict(zip(moved.class_names, moved.settings.classes, strict=True))
+    for name, rules in zip(fresh.class_names, fresh.settings.classes, strict=True):
+        assert by_name[name] == rules and rules.offered
+    assert moved.offered == {"import", "scan", "print"} and not by_name["lookup"].offered and not others
+    assert moved.max_open == 7
+    for key in ("dispatchers", "me", "max_attempts", "fall_multiple", "overload_for_ns", "cold_share",
+                "max_retry_after_ns"):
+        assert getattr(moved.settings, key) == getattr(fresh.settings, key)
+
+
+def test_what_was_learnt_of_a_dropped_class_counts_no_more(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its running time made the mean by which cold workers are given work; so did the old fleet's size."""
+    path = tmp_path / "config.json"
+    monkeypatch.setenv("GW_CONFIG", str(path))
+
+    async def scenario() -> None:
+        async with site(**FIRST) as here:
+            program, policy = here.program, here.program.exchange.dispatcher
+            assert policy.running.mean() > 400e9
+            told = {**program.config.document, "settings": document(**SECOND)["settings"]}
+            path.write_text(json.dumps(told))
+            program.reload_wanted.set()
+            await until(lambda: program.counters.counts["reloads"])
+            await until(lambda: policy.settings.dispatchers == 20)
+            offered = [aim for aim, rules in zip(
+                policy.running.mean_ns, policy.settings.classes, strict=True) if rules.offered]
+            assert len(offered) == 3 and policy.running.mean() == sum(offered) / 3
+            assert policy.backoff.dispatchers == 20 and policy.rule.multiple == 4.5
+            assert program.registry.config is program.config
+            assert (await here.post("c1", "/lookup")).status == 404
+            assert (await here.post("c2", "/print")).body == b"TEXT"
+    asyncio.run(scenario())
+
+
+def test_a_class_that_keeps_its_name_keeps_what_was_learnt_of_it(tmp_path: Path) -> None:
+    """And one that comes back has its old number: its figures are its own."""
+    one, two = written(tmp_path / "a", FIRST), written(tmp_path / "b", SECOND)
+    running = read({}, json.loads(one.read_text()))
+    moved, _ = reload({"GW_CONFIG": str(two)}, running)
+    back, _ = reload({"GW_CONFIG": str(one)}, moved)
+    assert back.class_names[:2] == running.class_names
+    assert back.settings.classes[:2] == running.settings.classes
+    assert back.offered == running.offered
--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -101,6 +101,8 @@
     window_ns = max(1, rule.window_ns)
     budget_ns = rule.budget_ns(cold.age_ns, cold.capacity)
     may_ns, since_ns = PART * budget_ns / cold.dispatchers, cold.age_ns - window_ns + 1
+    if cold.known_ns > max(0, since_ns):  # what its earlier process has sent in this window is not known
+        may_ns *= (1 - PART) / PART
     if cold.number is not None and may_ns < LEAST_NS and cold.dispatchers > 1:  # a part would hold no job
         may_ns, since_ns = _turn(rule, cold, cold.number)
     while sent and sent[0][0] < since_ns:
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -90,6 +90,7 @@
     stretch: float = 0.0
     kind: int = -1
     stream: bool = False
+    offered: bool = True  # False: a reload has dropped it, and no call names it any more
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/learnt/running.py
+++ b/weldquay/learnt/running.py
@@ -19,13 +19,18 @@
         self.logs: list[float | None] = []  # mean logarithm of the same
         self.slowness: dict[int, tuple[float, int]] = {}  # by machine kind: its part of that, samples
         self.service: dict[int, tuple[float, int]] = {}  # by kind: mean logarithm of told times, samples
+        self.offered: list[bool] = []
         self.know(first_ns)
 
-    def know(self, first_ns: Iterable[int]) -> None:
-        """Take in the classes that have come; those known before keep what was learnt."""
+    def know(self, first_ns: Iterable[int], offered: Iterable[bool] = ()) -> None:
+        """Take in the classes that have come; those known before keep what was learnt.
+
+        offered: whether calls may still name each class; empty: all.
+        """
         fresh = [float(each) for each in first_ns][len(self.mean_ns):]
         self.mean_ns += fresh
         self.logs += [None] * len(fresh)
+        self.offered = list(offered) or [True] * len(self.mean_ns)
 
     def learn(self, number: int, kind: int, run_ns: int) -> None:
         """A job of a class has run for so long on a machine of this kind."""
@@ -49,8 +54,9 @@
         return (drag + value - mean) / 2 if samples >= KIND_SAMPLES else drag
 
     def mean(self) -> float:
-        """Mean running time over the classes, in ns."""
-        return sum(self.mean_ns) / len(self.mean_ns)
+        """Mean running time over the classes that are offered, in ns."""
+        means = [mean for mean, offered in zip(self.mean_ns, self.offered, strict=True) if offered]
+        return sum(means) / len(means)
 
     def pace(self, kind: int) -> float:
         """How many times longer than on a mean machine jobs run on one of this kind."""
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -198,7 +198,8 @@
 
     A dropped class keeps its number and its rules, for the jobs that came with it.
     """
-    rules = dict(zip(running.class_names, running.settings.classes, strict=True))
+    rules = {name: replace(each, offered=False)
+             for name, each in zip(running.class_names, running.settings.classes, strict=True)}
     rules.update(zip(fresh.class_names, fresh.settings.classes, strict=True))  # new names come last
     return replace(
         fresh, class_names=tuple(rules), settings=replace(fresh.settings, classes=tuple(rules.values())))
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -32,6 +32,7 @@
 ANSWER_S = 2.4  # discovery holds a call 2 s at most; twice that and the waits between fit in the clock's 6 s
 BUSY_S = 0.5  # a call that discovery ends after so long has waited in its queue
 NEAR_S = 0.2  # an agent on this machine answers at once: right after an outage what it has counts as told
+LEAST_S = 0.05  # what has come is read once more, however long this dispatcher has stalled
 VALUE_S = 3.0  # a value is whole by then: one that never ends would pass for a watch that tells of no change
 
 
@@ -65,8 +66,9 @@
 
     def move(self, config: Config) -> None:
         """Follow discovery to its new address, from the whole list on: its revisions may be counted anew."""
-        if config.discovery != self.config.discovery:
-            self.config, self.revision = config, 0
+        moved, self.config = config.discovery != self.config.discovery, config
+        if moved:
+            self.revision = 0
             self.watch()
 
     def watch(self) -> None:
@@ -112,14 +114,17 @@
                 method=b"GET", target=watch_target(self.revision),
                 headers=[(b"Host", f"{host}:{port}".encode())])) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            values, answered = Values(), False
+            values, answered, late = Values(), False, False
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
                     now = time.monotonic()
                     patience_s = min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now) if answered else (
                         asked + answer_s - now)
-                    http.receive_data(await self._read(reader, max(0.0, patience_s), answered))
+                    if patience_s <= 0 and late:
+                        raise DiscoverySilent(now - self.whole_at, answered)
+                    late = patience_s <= 0
+                    http.receive_data(await self._read(reader, max(LEAST_S, patience_s), answered))
                 elif isinstance(event, h11.Response) and event.status_code != 200:
                     raise MessageError(f"it answered {event.status_code}")
                 elif isinstance(event, h11.Response):
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -47,8 +47,9 @@
         """Take in other settings; jobs keep the rules that they came with."""
         told = self.settings = event.settings
         self.planner.retune(self.now_ns, told.room, told.dispatchers, told.queue_in_order)
-        self.running.know(each.aim_ns for each in told.classes)
+        self.running.know((each.aim_ns for each in told.classes), (each.offered for each in told.classes))
         self.rule = self._cold_rule(told)
+        self.backoff.dispatchers, self.backoff.near = told.dispatchers, told.list_near
 
     def _tidy(self, stirred: bool) -> None:
         """What time alone brings; stirred says that there was more than notes."""
