--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,62 @@
+"""How soon a process that was started again is ready, whatever discovery does just then."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from example.toy import Message, Server
+from tests.site import site, until
+from tests.test_list_clock import Failing, Manner, busy, chunk, mute, reset
+from tests.test_registry import HEAD, listed
+from weldquay.fleet.pace import Backoff
+from weldquay.net import program
+
+READY_S = 10.0  # nine in ten restarted processes
+
+
+class Slow(Server):
+    """Discovery that answers after a while."""
+
+    async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Late, and whole."""
+        await asyncio.sleep(1.0)
+        writer.write(HEAD + chunk(listed(9, "SERVING", "127.0.0.1:1") + b"\n"))
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+@pytest.mark.parametrize("manner", [mute, busy, reset, None])
+def test_a_process_is_ready_soon(mode: str, manner: Manner | None) -> None:
+    """With discovery silent, behind, resetting or slow: from its start to /_health and its operators' yes."""
+    async def scenario() -> None:
+        begun = time.monotonic()
+        discovery = Slow() if manner is None else Failing(manner, 99)
+        async with site(discovery=discovery, discovery_mode=mode, group_size=200, me=7) as here:
+            assert await here.health() == 200
+            assert time.monotonic() - begun < READY_S - 2  # LIST_S at the most: 3.5 s
+            while await here.operate("ready", "GET") != 200:
+                await asyncio.sleep(0.05)
+            assert time.monotonic() - begun < READY_S
+    asyncio.run(scenario())
+
+
+def test_waits_for_the_list_leave_room() -> None:
+    """What a start may wait for at the most, and the first ask of the last of many dispatchers."""
+    assert program.LIST_S < READY_S / 2
+    for seed in range(200):
+        assert Backoff(random.Random(seed), 200).first_ns(0) <= 3.6e9
+
+
+def test_a_restart_with_an_old_list_hears_of_a_drain_in_time() -> None:
+    """One of a few dispatchers: its first ask comes at once, and the list that it had is replaced."""
+    async def scenario() -> None:
+        failing = Failing(mute, 0)
+        async with site(discovery=failing, group_size=3) as here:
+            failing.address_told = here.workers[0].address
+            begun = time.monotonic()
+            await until(lambda: here.program.registry.revision == 9)
+            assert time.monotonic() - begun < 2 and (await here.post(left_ms=300)).status == 503
+    asyncio.run(scenario())
