Have a repeat wait for the first worker's DELETE where no second copy is allowed

Mended: without caps.may_duplicate it waits for the DELETEs of that call at all workers. The new test fails without it.

--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -10,7 +10,7 @@
 
 from example.toy import Message
 from tests.helpers import MS, SECOND, Drive, finals, job_class, sends, settings
-from tests.site import site, until
+from tests.site import Scripted, site, until
 from weldquay import interface as api
 
 KEYED: list[dict[str, Any]] = [
@@ -75,6 +75,42 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("several", [False, True])
+def test_a_repeat_elsewhere_waits_for_the_delete_where_no_second_copy_is_allowed(several: bool) -> None:
+    """A reset took back the first worker's 202: its job runs on until the DELETE has come."""
+    async def scenario() -> None:
+        async with site(workers=2, caps={"probes": False, "may_duplicate": several}) as here:
+            gate, posts = asyncio.Event(), list[Scripted]()
+
+            def play(worker: Scripted) -> None:
+                answer = worker.answer
+
+                async def take(message: Message, writer: asyncio.StreamWriter) -> None:
+                    if message.method == "POST":
+                        posts.append(worker)
+                        if len(posts) == 1:
+                            here.program.exchange.ban(worker.name, True)  # so the repeat goes elsewhere
+                            writer.transport.abort()
+                            return
+                    if message.method == "DELETE":
+                        await gate.wait()
+                    await answer(message, writer)
+                worker.answer = take  # type: ignore[method-assign]
+            for worker in here.workers:
+                play(worker)
+            call = asyncio.create_task(here.post())
+            await until(lambda: call.done() or any(
+                each.sends == 2 for each in here.program.exchange.calls.values()))
+            if several:
+                assert (await call).body == b"TEXT"  # at once, with the DELETE still on its way
+            else:
+                await asyncio.sleep(0.2)
+                assert len(posts) == 1
+            gate.set()
+            assert (await call).body == b"TEXT" and len(posts) == 2
+    asyncio.run(scenario())
+
+
 def test_a_repeat_that_found_no_room_within_its_window_is_not_sent_later() -> None:
     """It was held until a worker had room, and sent then, whatever time had passed."""
     rules = job_class(effect=api.Effect.KEYED, window_ns=SECOND, aim_ns=8 * SECOND)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -148,6 +148,21 @@
     assert max(windows) < 1 and used > 0
 
 
+@pytest.mark.parametrize("fleet", [3, 6])
+def test_a_fleet_that_restarts_within_one_window_spends_no_part_twice(fleet: int) -> None:
+    """All have sent their parts, all start again, and calls wait for more: a large worker of short calls."""
+    sent, mean_ns, capacity = list[tuple[int, int]](), 50 * MS, 64.0
+    for me in range(fleet):
+        for known_ns, begin_ns in ((0, SECOND), (1200 * MS, 1300 * MS)):
+            own: deque[tuple[int, float]] = deque()
+            for at_ns in range(begin_ns, begin_ns + 600):
+                cold = Cold(7, at_ns, capacity, me, fleet, known_ns, 1.0, float(mean_ns), MANY)
+                if room(RULE, cold, own) >= mean_ns:
+                    own.append((at_ns, float(mean_ns)))
+                    sent.append((at_ns, mean_ns))
+    assert 0.8 < fullest(sent, capacity, mean_ns) < 1
+
+
 def test_forty_dispatchers_with_enough_jobs_use_a_part_of_it() -> None:
     """Divided by forty the budget holds no job at all, and a replaced worker stands idle until it is warm."""
     draw, used = random.Random(5), 0.0
--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/turns.py
@@ -25,9 +25,9 @@
 LEAST_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
 TURN_NS = 2_000_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
 PART = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
-TURN_PART = 0.47  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
+TURN_PART = 0.48  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
 JOB_PART = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
-MOST_OVER = 4.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
+MOST_OVER = 6.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
 _MASK = 2**64 - 1
 _CHANCE = 0xA0761D6478BD642F  # so that it is drawn apart from the ranks
 
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -162,9 +162,13 @@
 
     async def _attempt(self, attempt: Attempt) -> None:
         worker = self.known[attempt.worker_id]
-        # A worker has one attempt of a call at a time: an earlier one must have been given up before.
-        if (earlier := worker.giving_up.get(attempt.call.id)) is not None:
-            await asyncio.wait({earlier})
+        # A worker has one attempt of a call at a time: an earlier one must have been given up before.  Where
+        # the settings allow no second copy that holds for all workers: a reset may have taken back a 202, and
+        # the job runs on until the DELETE has come.
+        several = self.config.settings.may_duplicate
+        if earlier := {task for each in ((worker,) if several else self.known.values())
+                       if (task := each.giving_up.get(attempt.call.id)) is not None}:
+            await asyncio.wait(earlier)
         job = attempt.call.payload
         assert isinstance(job, Job)
         left_ns = attempt.deadline_ns - time.monotonic_ns()
