--- a/tests/site.py
+++ b/tests/site.py
@@ -18,6 +18,9 @@
 ACCEPTED = write_message("HTTP/1.1 202 Accepted")
 
 
+Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
+
+
 class Scripted(Worker):
     """A worker that does what its script says with each job, and keeps what came."""
 
@@ -25,7 +28,7 @@
         super().__init__(name, dispatcher)
         self.seen: list[Message] = []
         self.come = asyncio.Condition()
-        self.script: Callable[[Message, asyncio.StreamWriter], Awaitable[None]] | None = None
+        self.script: Script | None = None
 
     async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
         """Keep the message, then follow the script; without one, serve."""
@@ -45,6 +48,13 @@
         """A script: take the job and say no more."""
         writer.write(ACCEPTED)
 
+    def telling(self, result: str) -> Script:
+        """A script: take the job, and be done with it at once with this result."""
+        async def script(message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(ACCEPTED)
+            await self.tell(message.headers["x-correlation-id"], state="done", result=result)
+        return script
+
     def methods(self) -> list[str]:
         """The methods of what came, probes left out."""
         return [message.method for message in self.seen if message.method != "GET"]
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,15 +6,13 @@
 import json
 import socket
 import struct
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from example.toy import Message, write_message
-from tests.site import ACCEPTED, Scripted, Site, job, site, until
+from tests.site import ACCEPTED, Script, Scripted, Site, job, site, until
 from weldquay.net import workers
 
-Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
 FULL = write_message("HTTP/1.1 503 Busy", b"", "X-Unprocessed: 1")
 
 
@@ -112,16 +110,21 @@
     return await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
 
 
+async def in_work(here: Site) -> asyncio.Task[Message]:
+    """The answer to a call that the worker has taken, and says no more of."""
+    here.workers[0].script = here.workers[0].accept
+    answer = asyncio.create_task(here.post())
+    await here.workers[0].until("POST")
+    return answer
+
+
 @pytest.mark.parametrize("size", [1, 20, 100])
 def test_a_call_back_in_pieces_counts_once_it_is_whole(size: int) -> None:
     """However it is cut; one that ends in its midst counts for nothing, and its next try does."""
     async def scenario() -> None:
         async with site() as here:
-            worker = here.workers[0]
-            worker.script = worker.accept
-            answer = asyncio.create_task(here.post())
-            await worker.until("POST")
-            data = done("c1", worker, "whole")
+            answer = await in_work(here)
+            data = done("c1", here.workers[0], "whole")
             _, torn = await connect(here)
             torn.write(data[:-3])
             await torn.drain()
@@ -141,11 +144,8 @@
     """The rest comes after the shutdown began: it is answered, and closes its connection."""
     async def scenario() -> None:
         async with site() as here:
-            worker = here.workers[0]
-            worker.script = worker.accept
-            answer = asyncio.create_task(here.post())
-            await worker.until("POST")
-            data = done("c1", worker, "late")
+            answer = await in_work(here)
+            data = done("c1", here.workers[0], "late")
             reader, writer = await connect(here)
             writer.write(data[:30])
             await until(lambda: any(each.heard and each.call is None
@@ -163,11 +163,7 @@
     async def scenario() -> None:
         async with site() as here:
             worker = here.workers[0]
-
-            async def big(message: Message, writer: asyncio.StreamWriter) -> None:
-                writer.write(ACCEPTED)
-                await worker.tell(message.headers["x-correlation-id"], state="done", result="q" * 60_000)
-            worker.script = big
+            worker.script = worker.telling("q" * 60_000)
             sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
             sock.setblocking(False)
             sock.send(job(path=path))
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from example.toy import Message, write_message
-from tests.site import ACCEPTED, Site, job, site, until
+from example.toy import write_message
+from tests.site import Site, job, site, until
 from weldquay.net import acceptor
 from weldquay.net.connection import Connection, State
 
@@ -28,12 +28,7 @@
 
 def large_results(here: Site) -> None:
     """The worker's results are large, and the system holds little of them at this end."""
-    worker = here.workers[0]
-
-    async def big(message: Message, writer: asyncio.StreamWriter) -> None:
-        writer.write(ACCEPTED)
-        await worker.tell(message.headers["x-correlation-id"], state="done", result=BIG)
-    worker.script = big
+    here.workers[0].script = here.workers[0].telling(BIG)
     assert here.program.acceptor.server is not None
     for sock in here.program.acceptor.server.sockets:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -48,6 +43,17 @@
     return found
 
 
+async def rested(here: Site) -> tuple[socket.socket, Connection]:
+    """A client whose first call was served, and the dispatcher's end of its connection."""
+    sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+    sock.setblocking(False)
+    sock.send(job("c1"))
+    await asyncio.get_running_loop().sock_recv(sock, 4096)
+    connection = await accepted(here, sock)
+    await until(lambda: connection.state is State.RESTING)
+    return sock, connection
+
+
 async def taken(sock: socket.socket, pause_s: float = 0.0) -> bytes:
     """All that comes until the end of the connection, a piece at a time; a reset is an error."""
     got, loop = b"", asyncio.get_running_loop()
@@ -122,13 +128,7 @@
     """The client finds the end, not a reset, and no answer: it comes again elsewhere."""
     async def scenario() -> None:
         async with site() as here:
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
-            sock.setblocking(False)
-            loop = asyncio.get_running_loop()
-            sock.send(job("c1"))
-            await loop.sock_recv(sock, 4096)
-            connection = await accepted(here, sock)
-            await until(lambda: connection.state is State.RESTING)
+            sock, _ = await rested(here)
             here.program.acceptor.begin_closing()
             sock.send(job("c2"))
             sock.send(job("c3"))  # a reset connection would refuse this one
@@ -144,12 +144,7 @@
     """It waits at the system, or has been read by the loop and not yet by the connection."""
     async def scenario() -> None:
         async with site() as here:
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
-            sock.setblocking(False)
-            sock.send(job("c1"))
-            await asyncio.get_running_loop().sock_recv(sock, 4096)
-            connection = await accepted(here, sock)
-            await until(lambda: connection.state is State.RESTING)
+            sock, connection = await rested(here)
             if where == "system":
                 sock.send(job("c2"))
             else:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,21 +9,19 @@
 import socket
 import sys
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from contextlib import suppress
 from typing import Any
 
 import pytest
 
 from example.toy import Discovery, Message, Server, read_message, request, write_message
-from tests.site import ACCEPTED, Scripted, document, job, site, until
+from tests.site import ACCEPTED, Script, Scripted, document, job, site, until
 from weldquay.policy import members as listed
 from weldquay.net import acceptor, connection, exchange, program, registry, workers
 from weldquay.net.outgoing import Connection
 from weldquay.net.workers import MOST_IDLE, Worker
 
-Script = Callable[[Message, asyncio.StreamWriter], Awaitable[None]]
-
 
 def play(scenario: Coroutine[Any, Any, None]) -> None:
     """Run a scenario in an event loop of its own."""
@@ -234,12 +232,7 @@
     """Its next calls wait until it has read, and the end of the program does not wait for it."""
     async def scenario() -> None:
         async with site() as here:
-            worker = here.workers[0]
-
-            async def long(message: Message, writer: asyncio.StreamWriter) -> None:
-                writer.write(ACCEPTED)
-                await worker.tell(message.headers["x-correlation-id"], state="done", result="x" * 60_000)
-            worker.script = long
+            here.workers[0].script = here.workers[0].telling("x" * 60_000)
             client = socket.socket()
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.connect(("127.0.0.1", here.program.acceptor.port))
--- a/weldquay/fleet/pace.py
+++ b/weldquay/fleet/pace.py
@@ -68,6 +68,8 @@
 
         silent_ns: since the last good news, or since the call that failed.
         """
+        if self.near:
+            return int(self.random.random() * NEAR_NS)
         growth, self.failures = GROWTH ** min(self.failures, 20), self.failures + 1
         told_ns = now_ns - silent_ns + CLOCK_NS
         if failure is not ListFailure.UNREACHED and self.told_ns > now_ns:
@@ -77,16 +79,14 @@
             told_ns, left_ns = now_ns + CLOCK_NS, MOST_NS
         self.told_ns = told_ns
         space_ns = SPACE_NS * self.dispatchers
-        if self.near:
-            bound_ns: float = NEAR_NS
-        elif failure is ListFailure.UNREACHED:
+        if failure is ListFailure.UNREACHED:
             bound_ns = min(left_ns, max(FIRST_NS, space_ns) * growth)
         elif failure is ListFailure.BUSY and space_ns > MOST_NS:
             # What keeps it from working off its queue is this very fleet, and asking sooner costs all of it
             # more time.  From the second failure on half of the wait is certain.
             if growth > 1:
                 return int((1 + self.random.random()) / 2 * min(space_ns * growth, max(FIRST_NS, most_ns)))
-            bound_ns = MOST_NS
+            bound_ns = float(MOST_NS)
         else:
             bound_ns = min(left_ns, max(SOON_NS, START_NS * self.dispatchers) * growth)
         return int(self.random.random() * min(bound_ns, max(FIRST_NS, most_ns)))
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import select
 import socket
 import time
 from collections.abc import Callable
@@ -19,7 +18,7 @@
 from weldquay.net.calls import Answer, Expected, Passed
 from weldquay.net.exchange import Exchange
 from weldquay.net.messages import figures, job_of
-from weldquay.net.streams import CountingReader
+from weldquay.net.streams import COMING, CountingReader, polled
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
@@ -190,7 +189,7 @@
         self.closing = self.refusing = True
         try:
             async with asyncio.timeout(linger_s):
-                while self.server is not None and self._queued():
+                while self.listener is not None and self.server is not None and polled(self.listener, COMING):
                     await asyncio.sleep(LOOK_S)
                 self.stop_accepting()
                 while self.connections:
@@ -205,13 +204,6 @@
             self.listener.close()
         await self.tasks.stop()
 
-    def _queued(self) -> bool:
-        """True where connections wait in the system's queue."""
-        assert self.listener is not None
-        poll = select.poll()
-        poll.register(self.listener.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     async def _accept(
         self, reader: CountingReader, writer: asyncio.StreamWriter, passed: Passed | None,
         expected: Expected | None,
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -23,7 +23,7 @@
     MAX_BODY, Body, Figures, MessageError, callback, class_name, figures, job_of, last_answer, request_again,
     retry_after,
 )
-from weldquay.net.streams import HUNG_UP, CountingReader, polled, unread
+from weldquay.net.streams import HUNG_UP, CountingReader, shows, unread
 
 if TYPE_CHECKING:
     from weldquay.net.acceptor import Acceptor
@@ -106,7 +106,7 @@
             data += more
         acceptor, exchange = self.acceptor, self.acceptor.exchange
         while self.call is not None and (acceptor.pass_on is None or not exchange.may_pass(self.call)):
-            if polled(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
+            if shows(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
                 return
             await asyncio.sleep(PASS_S)
         if self.call is None:
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -88,21 +88,28 @@
         except (OSError, h11.RemoteProtocolError, MessageError, DiscoverySilent) as error:
             if isinstance(error, DiscoverySilent):
                 self.exchange.counters.add("lists_silent" if error.answered else "lists_unanswered")
-            if isinstance(error, NotReached) or (self.asked and not isinstance(error, DiscoverySilent)):
-                # It told nothing: it is down and says so at once, or so late that it must be behind.
-                late = time.monotonic() - self.asked > BUSY_S and not isinstance(error, NotReached)
-                failure = api.ListFailure.BUSY if late else api.ListFailure.UNREACHED
+            failure = self._failure(error)
             if not self.failures:  # the first of a row: an outage is told once
                 told = error.advice() if isinstance(error, OperatorError) else str(error)
                 log.info("the watch on discovery ended: %s", told or type(error).__name__)
             self.failures += 1
         self.exchange.list_failed(int((time.monotonic() - self.whole_at) * 1e9), failure)
 
+    def _failure(self, error: Exception) -> api.ListFailure:
+        """How a call to discovery failed."""
+        if isinstance(error, NotReached):
+            return api.ListFailure.UNREACHED
+        if isinstance(error, DiscoverySilent) or not self.asked:
+            return api.ListFailure.ENDED
+        # It told nothing: it is down and says so at once, or so late that it must be behind.
+        late = time.monotonic() - self.asked > BUSY_S
+        return api.ListFailure.BUSY if late else api.ListFailure.UNREACHED
+
     async def _follow(self) -> None:
         """Tell the exchange of each value of a watch, until the watch ends."""
         host, port = self.config.discovery
         answer_s = NEAR_S if self.config.settings.list_near else ANSWER_S
-        asked = self.asked = self.whole_at
+        self.asked = self.whole_at
         try:
             async with asyncio.timeout(answer_s):
                 reader, writer = await asyncio.open_connection(host, port)
@@ -120,7 +127,7 @@
                 if event is h11.NEED_DATA:
                     now = time.monotonic()
                     patience_s = min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now) if answered else (
-                        asked + answer_s - now)
+                        self.asked + answer_s - now)
                     if patience_s <= 0 and late:
                         raise DiscoverySilent(now - self.whole_at, answered)
                     late = patience_s <= 0
--- a/weldquay/net/streams.py
+++ b/weldquay/net/streams.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Iterable
 from typing import SupportsIndex
 
@@ -35,18 +36,21 @@
         return data
 
 
-def polled(writer: asyncio.StreamWriter, events: int) -> bool:
-    """True where the system tells one of these of the connection; a closed socket must not be asked."""
-    if writer.is_closing():
-        return False
+def polled(sock: socket.socket, events: int) -> bool:
+    """True where the system tells one of these of a socket; a closed one must not be asked."""
     poll = select.poll()
-    poll.register(writer.get_extra_info("socket").fileno(), events)
+    poll.register(sock.fileno(), events)
     return any(found & events for _, found in poll.poll(0))
 
 
+def shows(writer: asyncio.StreamWriter, events: int) -> bool:
+    """The same of a connection; nothing once it is closed here."""
+    return not writer.is_closing() and polled(writer.get_extra_info("socket"), events)
+
+
 def unread(reader: CountingReader, writer: asyncio.StreamWriter) -> bool:
     """True where bytes have come, or the other side's end, that nobody has taken in."""
-    return reader.waiting > 0 or polled(writer, COMING)
+    return reader.waiting > 0 or shows(writer, COMING)
 
 
 async def connect(host: str, port: int, limit: int) -> tuple[CountingReader, asyncio.StreamWriter]:
