--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -26,8 +26,13 @@
     """One class that may run again, another of large jobs."""
     rules = api.JobClass(aim_ns=10 * SECOND, give_up_ns=60 * SECOND, effect=api.Effect.SAFE, stretch=2.0)
     return api.Settings(
-        classes=(rules, rules), tells_start=True, worth_by_work=True, max_attempts=5, may_cancel=True,
-        room=room)
+        classes=(rules, rules),
+        tells_start=True,
+        worth_by_work=True,
+        max_attempts=5,
+        may_cancel=True,
+        room=room,
+    )
 
 
 class Bench:
@@ -43,19 +48,23 @@
             for _ in range(self.each):  # as an earlier process hands them over, which needs no draw
                 self.number += 1
                 request = api.Request(self.number, 0, 60 * SECOND, hint_ns=5 * SECOND)
-                self.dispatcher.step(self.now, [
-                    api.Adopted(request, self.now, 1, worker, self.now, self.now)])
+                self.dispatcher.step(
+                    self.now, [api.Adopted(request, self.now, 1, worker, self.now, self.now)]
+                )
         self.fresh()
         for _ in range(large):
             self.number += 1
-            self.dispatcher.step(self.now, [api.Request(
-                self.number, 1, 60 * SECOND, slots=float(self.each + 4), hint_ns=SECOND)])
+            self.dispatcher.step(
+                self.now,
+                [api.Request(self.number, 1, 60 * SECOND, slots=float(self.each + 4), hint_ns=SECOND)],
+            )
 
     def fresh(self) -> None:
         """Each worker reports four free slots."""
         for worker in range(1, self.workers + 1):
-            self.dispatcher.takes[api.ProbeEnded](api.ProbeEnded(
-                worker, api.Outcome.OK, MS, api.LoadReport(4.0, 4.0, held=float(self.each))))
+            self.dispatcher.takes[api.ProbeEnded](
+                api.ProbeEnded(worker, api.Outcome.OK, MS, api.LoadReport(4.0, 4.0, held=float(self.each)))
+            )
 
     def call(self) -> float:
         """One call, placed and ended; the seconds that placing it took."""
@@ -66,8 +75,10 @@
         took = time.process_time() - begun
         for action in actions:
             if isinstance(action, api.Send):
-                self.dispatcher.step(self.now, [api.AttemptEnded(
-                    action.request, 0, action.worker, api.Outcome.OK, 10 * MS, True)])
+                self.dispatcher.step(
+                    self.now,
+                    [api.AttemptEnded(action.request, 0, action.worker, api.Outcome.OK, 10 * MS, True)],
+                )
         return took
 
 
@@ -84,8 +95,11 @@
                 times[index].append(arms[index].call())
         off, on, holding = (statistics.median(each) * 1e6 for each in times)
         planner = arms[2].dispatcher.planner
-        print(f"| {workers} | {off:.0f} | {on:.0f} | {on / off:.3f} | {holding:.0f} | {len(planner.by_job)} "
-              f"| {memory(workers)} |", flush=True)
+        print(
+            f"| {workers} | {off:.0f} | {on:.0f} | {on / off:.3f} | {holding:.0f} | {len(planner.by_job)} "
+            f"| {memory(workers)} |",
+            flush=True,
+        )
     return 0
 
 
@@ -98,8 +112,14 @@
     told = Timetable(4.0, 4.0, [Running(SECOND, 2.0)])
     tracemalloc.start()
     for number in range(JOBS):
-        planner.seek(0, Want(number, 4.0, 1.0, 1e9, 1e10, 1.0), [
-            Offer(number % workers, 1e9, lambda: told)], workers, 0.1, 1)
+        planner.seek(
+            0,
+            Want(number, 4.0, 1.0, 1e9, 1e10, 1.0),
+            [Offer(number % workers, 1e9, lambda: told)],
+            workers,
+            0.1,
+            1,
+        )
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return size
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,9 +14,17 @@
 def settings(**changes: Any) -> api.Settings:
     """One dispatcher, one safe class, probes and cancels allowed."""
     values: dict[str, Any] = {
-        "classes": (job_class(),), "may_cancel": True, "may_probe": True, "reports_in_probes": True,
-        "max_attempts": 4, "progress_ns": SECOND, "tick_ns": 5 * MS, "cold_share": 0.2,
-        "warm_after_ns": 20 * SECOND, "fall_multiple": 3.0, "overload_for_ns": 2 * SECOND,
+        "classes": (job_class(),),
+        "may_cancel": True,
+        "may_probe": True,
+        "reports_in_probes": True,
+        "max_attempts": 4,
+        "progress_ns": SECOND,
+        "tick_ns": 5 * MS,
+        "cold_share": 0.2,
+        "warm_after_ns": 20 * SECOND,
+        "fall_multiple": 3.0,
+        "overload_for_ns": 2 * SECOND,
     }
     return api.Settings(**{**values, **changes})
 
@@ -24,7 +32,11 @@
 def job_class(**changes: Any) -> api.JobClass:
     """A safe class: aim 1 s and twice the running time, given up after 10 s."""
     values: dict[str, Any] = {
-        "aim_ns": SECOND, "give_up_ns": 10 * SECOND, "effect": api.Effect.SAFE, "stretch": 2.0}
+        "aim_ns": SECOND,
+        "give_up_ns": 10 * SECOND,
+        "effect": api.Effect.SAFE,
+        "stretch": 2.0,
+    }
     return api.JobClass(**{**values, **changes})
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -30,5 +30,8 @@
 def unknown(listed: Collection[str], collected: Collection[str], files: Collection[str]) -> list[str]:
     """Listed tests that do not exist; files are those that were looked through or are there."""
     seen = {each.split("::")[0] for each in collected}
-    return [each for each in listed if each not in collected and (
-        each.split("::")[0] in seen or each.split("::")[0] not in files)]
+    return [
+        each
+        for each in listed
+        if each not in collected and (each.split("::")[0] in seen or each.split("::")[0] not in files)
+    ]
--- a/tests/site.py
+++ b/tests/site.py
@@ -50,9 +50,11 @@
 
     def telling(self, result: str) -> Script:
         """A script: take the job, and be done with it at once with this result."""
+
         async def script(message: Message, writer: asyncio.StreamWriter) -> None:
             writer.write(ACCEPTED)
             await self.tell(message.headers["x-correlation-id"], state="done", result=result)
+
         return script
 
     def methods(self) -> list[str]:
@@ -98,7 +100,8 @@
 def job(call: str = "c1", path: str = "/lookup/a?b=1", left_ms: int = 5000) -> bytes:
     """The bytes of a call."""
     return write_message(
-        f"POST {path} HTTP/1.1", b"text", f"X-Correlation-Id: {call}", f"X-Time-Left-Ms: {left_ms}")
+        f"POST {path} HTTP/1.1", b"text", f"X-Correlation-Id: {call}", f"X-Time-Left-Ms: {left_ms}"
+    )
 
 
 def document(**settings: Any) -> dict[str, Any]:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -66,18 +66,21 @@
             async def once(message: Message, writer: asyncio.StreamWriter) -> None:
                 worker.script = None
                 await script(message, writer)
+
             worker.script = once
             assert (await here.post(path=path, left_ms=1500)).status == status
             await until(lambda: not here.program.exchange.attempts and not here.program.workers.busy)
             assert worker.methods().count("POST") == posts and "DELETE" in worker.methods()
             if posts == 2:  # never two at once
                 assert worker.methods() == ["POST", "DELETE", "POST"]
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("late", [False, True])
 def test_a_second_answer_is_not_the_answer_to_the_next_request(late: bool) -> None:
     """It came behind the 202 and told of no room: the next job on that connection was sent twice."""
+
     async def scenario() -> None:
         async with site(caps={"probes": False}) as here:
             worker = here.workers[0]
@@ -90,12 +93,14 @@
                     await until(lambda: any(each.idle for each in here.program.workers.known.values()))
                     writer.write(FULL)
                 await worker.tell(call, state="done", result="one")
+
             worker.script = twice
             assert (await here.post("c1")).body == b"one"
             assert (await here.post("c2")).body == b"TEXT"
             counts = here.program.counters.counts
             assert worker.methods() == ["POST", "POST"] and not counts["attempts_full"]
             assert counts["attempts_ok"] == 2
+
     asyncio.run(scenario())
 
 
@@ -121,6 +126,7 @@
 @pytest.mark.parametrize("size", [1, 20, 100])
 def test_a_call_back_in_pieces_counts_once_it_is_whole(size: int) -> None:
     """However it is cut; one that ends in its midst counts for nothing, and its next try does."""
+
     async def scenario() -> None:
         async with site() as here:
             answer = await in_work(here)
@@ -131,35 +137,40 @@
             torn.close()
             reader, writer = await connect(here)
             for at in range(0, len(data), size):
-                writer.write(data[at:at + size])
+                writer.write(data[at : at + size])
                 await writer.drain()
             assert (await reader.read(12)).startswith(b"HTTP/1.1 204")
             assert (await answer).body == b"whole"
             assert here.program.counters.counts["attempts_ok"] == 1
             writer.close()
+
     asyncio.run(scenario())
 
 
 def test_half_a_call_back_at_the_end_is_taken_in_whole_or_not_at_all() -> None:
     """The rest comes after the shutdown began: it is answered, and closes its connection."""
+
     async def scenario() -> None:
         async with site() as here:
             answer = await in_work(here)
             data = done("c1", here.workers[0], "late")
             reader, writer = await connect(here)
             writer.write(data[:30])
-            await until(lambda: any(each.heard and each.call is None
-                                    for each in here.program.acceptor.connections))
+            await until(
+                lambda: any(each.heard and each.call is None for each in here.program.acceptor.connections)
+            )
             here.program.acceptor.begin_closing()
             writer.write(data[30:])
             assert b"204" in await reader.read() and (await answer).body == b"late"
             writer.close()
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("path", ["/lookup", "/import"])
 def test_a_200_that_its_client_cuts_short_runs_nothing_again(path: str) -> None:
     """The call has its result; what becomes of the answer is the client's."""
+
     async def scenario() -> None:
         async with site() as here:
             worker = here.workers[0]
@@ -173,4 +184,5 @@
             await until(lambda: not here.program.acceptor.connections)
             assert worker.methods() == ["POST"] and not here.program.exchange.calls
             assert here.program.counters.counts["answers_served"] == 1
+
     asyncio.run(scenario())
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -32,7 +32,8 @@
     told["settings"] = loads.settings(3)
     told["settings"]["caps"]["max_open"] = 600
     told["settings"]["customers"] = [
-        {"name": each.name, "fraction": each.fraction, "quota_per_s": 5.0} for each in SITE.customers]
+        {"name": each.name, "fraction": each.fraction, "quota_per_s": 5.0} for each in SITE.customers
+    ]
     for path, value in changes.items():
         change(told, path, value)
     return told
@@ -68,8 +69,12 @@
     (f"{CLASS}3__name", "segment-comit", "WQ202", "is not segment-commit"),
     (f"{CLASS}2__name", "batch.import", "WQ202", "is not batch-import"),
     (f"{CLASS}4", {**loads.settings()["services"][3], "effect": "retryable"}, "WQ203", "name of class 3"),
-    (f"{CLASS}4", {**loads.settings()["services"][3], "name": "SEGMENT COMMIT", "effect": "retryable"},
-     "WQ204", "same name in two spellings"),
+    (
+        f"{CLASS}4",
+        {**loads.settings()["services"][3], "name": "SEGMENT COMMIT", "effect": "retryable"},
+        "WQ204",
+        "same name in two spellings",
+    ),
     ("settings__clients", {"retries_fragile": True}, "WQ206", "batch-import, segment-commit again"),
     (f"{CLASS}0__effect", "dedup", "WQ207", "window of 0"),
     ("settings__caps__max_attempts", 9, "WQ208", "the platform allows 5"),
@@ -151,12 +156,21 @@
 
 
 TEXTS: list[tuple[bytes, str]] = [
-    (b"", "expecting value"), (b"{", "expecting"), (b"null", "holds null"), (b"[]", "holds a list"),
-    (json.dumps(good()).encode()[:-30], "expecting"), (json.dumps(good()).encode() + b"x", "extra data"),
-    (b'{"name": "a", "name": "b"}', 'the key "name" stands twice'), (b'{"a": NaN}', "NaN is no JSON number"),
-    (b'{"a": -Infinity}', "is no JSON number"), (b'{"a": "\xff"}', "is no UTF-8"),
-    (b"[" * 100 + b"]" * 100, "nested more than 64 levels"), (b'{"a": ' + b"9" * 5000 + b"}", "4300"),
-    (b"{'a': 1}", "property name"), (b'{"a": 1,}', "property name")]
+    (b"", "expecting value"),
+    (b"{", "expecting"),
+    (b"null", "holds null"),
+    (b"[]", "holds a list"),
+    (json.dumps(good()).encode()[:-30], "expecting"),
+    (json.dumps(good()).encode() + b"x", "extra data"),
+    (b'{"name": "a", "name": "b"}', 'the key "name" stands twice'),
+    (b'{"a": NaN}', "NaN is no JSON number"),
+    (b'{"a": -Infinity}', "is no JSON number"),
+    (b'{"a": "\xff"}', "is no UTF-8"),
+    (b"[" * 100 + b"]" * 100, "nested more than 64 levels"),
+    (b'{"a": ' + b"9" * 5000 + b"}", "4300"),
+    (b"{'a': 1}", "property name"),
+    (b'{"a": 1,}', "property name"),
+]
 
 
 @pytest.mark.parametrize(("text", "told"), TEXTS)
@@ -167,14 +181,28 @@
 
 
 GOOD: list[dict[str, Any]] = [
-    {}, {"seed": "0"}, {"mgmt": GONE}, {"listen": "[::1]:8443"}, {"listen": "localhost:8443"},
-    {"settings__caps__max_attempts": 1, "settings__caps__may_duplicate": False}, {"limits": GONE},
-    {f"{CLASS}0__give_up_ns": S}, {f"{CLASS}0__give_up_ns": float(S)}, {f"{CLASS}3__give_up_ns": 2 * S},
-    {"settings__safety__stop_sending_within_ns": 100_000_000}, {"settings__safety__cold_share": 0.2},
-    {"settings__safety__fall_multiple": 2.0}, {"settings__safety__warm_after_ns": 20 * S},
-    {"room": {"on": False}}, {"access": {"clients": []}},
-    {"settings__caps__cancel": False}, {"settings__tiers": ["a"]}, {"settings__caps__conn_idle_ns": 10 * S},
-    {"settings__new_key_of_the_platform": 1}, {"known": GONE}, {"settings__zones": ["a", "b"]},
+    {},
+    {"seed": "0"},
+    {"mgmt": GONE},
+    {"listen": "[::1]:8443"},
+    {"listen": "localhost:8443"},
+    {"settings__caps__max_attempts": 1, "settings__caps__may_duplicate": False},
+    {"limits": GONE},
+    {f"{CLASS}0__give_up_ns": S},
+    {f"{CLASS}0__give_up_ns": float(S)},
+    {f"{CLASS}3__give_up_ns": 2 * S},
+    {"settings__safety__stop_sending_within_ns": 100_000_000},
+    {"settings__safety__cold_share": 0.2},
+    {"settings__safety__fall_multiple": 2.0},
+    {"settings__safety__warm_after_ns": 20 * S},
+    {"room": {"on": False}},
+    {"access": {"clients": []}},
+    {"settings__caps__cancel": False},
+    {"settings__tiers": ["a"]},
+    {"settings__caps__conn_idle_ns": 10 * S},
+    {"settings__new_key_of_the_platform": 1},
+    {"known": GONE},
+    {"settings__zones": ["a", "b"]},
 ]
 
 
@@ -190,7 +218,11 @@
 
 @pytest.mark.parametrize(("path", "value", "rule", "text"), BAD)
 def test_what_is_an_error_does_not_start(
-    path: str, value: Any, rule: str, text: str, tmp_path: Path,
+    path: str,
+    value: Any,
+    rule: str,
+    text: str,
+    tmp_path: Path,
 ) -> None:
     """The same meaning in the program: each broken file is refused there too, in one line."""
     file = tmp_path / "config.json"
@@ -210,7 +242,11 @@
 def test_a_sidecar_listens_on_loopback_only() -> None:
     """Not where others reach it, nor on an address that only looks like one."""
     for address, bad in (
-            ("10.0.0.4:8443", 1), ("0.0.0.0:1", 1), ("[::ffff:127.0.0.1]:1", 0), ("127.9.9.9:1", 0)):
+        ("10.0.0.4:8443", 1),
+        ("0.0.0.0:1", 1),
+        ("[::ffff:127.0.0.1]:1", 0),
+        ("127.9.9.9:1", 0),
+    ):
         hits = [each for each in found(good(listen=address), sidecar=True) if each.rule == "WQ603"]
         assert len(hits) == bad, address
 
@@ -230,13 +266,18 @@
     told = run(cli.main, ["config", "check", str(path), "--catalogue", "sapporo-tm"])
     assert told.exit_code == 1 and "error WQ201" in told.output and "write fragile" in told.output
     machine = run(
-        cli.main, ["config", "check", str(path), "--format", "json"], env={"GW_CATALOGUE": "sapporo-tm"})
+        cli.main, ["config", "check", str(path), "--format", "json"], env={"GW_CATALOGUE": "sapporo-tm"}
+    )
     assert json.loads(machine.output)["findings"][0]["rule"] == "WQ201" and machine.exit_code == 1
     path.write_text(json.dumps(good()))
     assert run(cli.main, ["config", "check", str(path), "--catalogue", "sapporo-tm"]).exit_code == 0
-    for arguments in (["config", "check", str(tmp_path)], ["config", "check", str(tmp_path / "no")],
-                      ["config", "explain", "WQ9"], ["config", "check", str(path), "--catalogue", "nowhere"],
-                      ["nonsense"]):
+    for arguments in (
+        ["config", "check", str(tmp_path)],
+        ["config", "check", str(tmp_path / "no")],
+        ["config", "explain", "WQ9"],
+        ["config", "check", str(path), "--catalogue", "nowhere"],
+        ["nonsense"],
+    ):
         assert run(cli.main, arguments).exit_code == 2, arguments
     assert run(cli.main, ["config", "explain", "wq201"]).exit_code == 0
     assert "$defs" in run(cli.main, ["config", "schema"]).output
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -66,6 +66,7 @@
 @pytest.mark.parametrize("ahead", AHEAD)
 def test_a_call_that_waits_for_its_first_attempt(how: str, ahead: int) -> None:
     """However much its client had sent behind it: it was not read any more, and so not seen to go."""
+
     async def scenario() -> None:
         async with site() as here:
             await drained(here)
@@ -78,11 +79,13 @@
             await serve_again(here)
             assert here.workers[0].methods() == ["POST"]
             sock.close()
+
     asyncio.run(scenario())
 
 
 def test_a_burst_of_hundreds() -> None:
     """All leave at one moment, and right then there is room."""
+
     async def scenario() -> None:
         async with site() as here:
             await drained(here)
@@ -94,6 +97,7 @@
             await gone(here, 120)
             assert (await here.post("last")).body == b"TEXT"
             assert here.workers[0].methods().count("POST") == 1
+
     asyncio.run(scenario())
 
 
@@ -101,6 +105,7 @@
 @pytest.mark.parametrize("path", ["/lookup", "/import"])
 def test_while_the_connection_to_the_worker_comes_up(path: str, cancel: bool) -> None:
     """Nothing is written on it once it is up, also where the settings allow no attempt to be given up."""
+
     async def scenario() -> None:
         async with site(caps={"probes": False, "cancel": cancel}) as here:
             workers, gate = here.program.workers, asyncio.Event()
@@ -109,6 +114,7 @@
             async def slow(worker: Worker) -> Connection:
                 await gate.wait()
                 return await connect(worker)
+
             workers._connect = slow  # type: ignore[method-assign]
             sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
             sock.sendall(job(path=path))
@@ -119,11 +125,13 @@
             await until(lambda: not here.program.exchange.attempts and not workers.sending)
             assert (await here.post("last")).body == b"TEXT"
             assert here.workers[0].methods() == ["POST"]  # and no DELETE: nothing was there to give up
+
     asyncio.run(scenario())
 
 
 def test_between_two_attempts() -> None:
     """The next one waits until the worker has been told that nobody waits for the first."""
+
     async def scenario() -> None:
         async with site(caps={"probes": False}) as here:
             worker, gate, posts = here.workers[0], asyncio.Event(), list[Message]()
@@ -131,12 +139,14 @@
             async def cut(message: Message, writer: asyncio.StreamWriter) -> None:
                 posts.append(message)
                 writer.transport.abort()
+
             answer = worker.answer
 
             async def held(message: Message, writer: asyncio.StreamWriter) -> None:
                 if message.method == "DELETE":
                     await gate.wait()
                 await answer(message, writer)
+
             worker.script, worker.answer = cut, held  # type: ignore[method-assign]
             sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
             sock.sendall(job())
@@ -146,17 +156,20 @@
             gate.set()
             await until(lambda: not here.program.workers.busy and not here.program.workers.sending)
             assert len(posts) == 1
+
     asyncio.run(scenario())
 
 
 def test_while_its_connection_is_passed_on() -> None:
     """It is not read any more, and its call cannot go yet: its leaving shows all the same."""
+
     async def scenario() -> None:
         async with site() as here:
             worker, passed = here.workers[0], list[Passed]()
 
             async def silent(message: Message, writer: asyncio.StreamWriter) -> None:
                 await asyncio.sleep(3600)
+
             worker.script = silent
             sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
             sock.sendall(job(path="/import"))
@@ -166,28 +179,35 @@
             sock.close()
             await gone(here)
             assert not passed
+
     asyncio.run(scenario())
 
 
 def test_what_fits_behind_a_call_is_served_in_its_turn() -> None:
     """Requests that came ahead are kept, up to a bound; past it the connection closes after its answer."""
+
     async def scenario() -> None:
         async with site() as here:
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
             big = b"y" * 30_000
             for number in range(4):
-                writer.write(write_message("POST /lookup HTTP/1.1", big, f"X-Correlation-Id: c{number}",
-                                           "X-Time-Left-Ms: 5000"))
+                writer.write(
+                    write_message(
+                        "POST /lookup HTTP/1.1", big, f"X-Correlation-Id: c{number}", "X-Time-Left-Ms: 5000"
+                    )
+                )
             got = b""
             while got.count(b"Y" * 30_000) < 4:
                 got += await reader.read(65536)
             assert got.count(b"200 OK") == 4
             writer.close()
+
     asyncio.run(scenario())
 
 
 def test_a_flood_behind_a_call_is_bounded_and_its_answer_comes() -> None:
     """All of it is read, none of it kept past the bound, and the connection ends behind the answer."""
+
     async def scenario() -> None:
         async with site() as here:
             worker, told = here.workers[0], asyncio.Event()
@@ -196,6 +216,7 @@
                 writer.write(ACCEPTED)
                 await told.wait()
                 await worker.tell(message.headers["x-correlation-id"], state="done", result="late")
+
             worker.script = later
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
             writer.write(job())
@@ -213,6 +234,5 @@
             assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"late")
             assert b"Connection: close" in got
             writer.close()
-    asyncio.run(scenario())
-
 
+    asyncio.run(scenario())
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -22,7 +22,11 @@
     assert config.listen == Address("127.0.0.9", 1) and config.discovery == Address("127.0.0.1", 8500)
     assert (config.class_names, config.zones, config.kinds) == (("lookup", "import"), ("here",), ("toy",))
     assert config.report_fields == {
-        "svc_ms": "svc_ms", "pending": "pending", "x0": "free_slots", "x1": "free_memory"}
+        "svc_ms": "svc_ms",
+        "pending": "pending",
+        "x0": "free_slots",
+        "x1": "free_memory",
+    }
     assert (config.seed, config.sockets, config.connect_timeout_ns) == (0x5EED, 256, 250_000_000)
     assert config.settings.asks_list and config.settings.max_retry_after_ns == 2_000_000_000
 
@@ -36,11 +40,17 @@
     environ = {"GW_CONFIG": str(path), "GW_DISCOVERY": "127.0.0.1:1"}
     path.write_text(json.dumps(document()))
     running = load(environ)
-    told = {**document(caps={"max_attempts": 2}), "discovery": "127.0.0.1:2", "name": "other", "seed": "7",
-            "limits": {"sockets": 199, "memory_mb": 99, "cores": 1}}
+    told = {
+        **document(caps={"max_attempts": 2}),
+        "discovery": "127.0.0.1:2",
+        "name": "other",
+        "seed": "7",
+        "limits": {"sockets": 199, "memory_mb": 99, "cores": 1},
+    }
     told["settings"]["services"] = [
         {**told["settings"]["services"][1], "name": "newer", "effect": "retryable"},
-        {**told["settings"]["services"][1], "give_up_ns": 7}]
+        {**told["settings"]["services"][1], "give_up_ns": 7},
+    ]
     path.write_text(json.dumps(told))
     moved, others = reload(environ, running)
     assert moved.discovery == Address("127.0.0.1", 2) and moved.settings.max_attempts == 2
@@ -66,20 +76,32 @@
 
 
 BROKEN: list[tuple[str, Any]] = [
-    ("settings", None), ("limits", None), ("name", None), ("settings.services", []), ("settings.caps", None),
-    ("settings.services.0.effect", None), ("settings.services.1.worth", None),
-    ("settings.caps.max_attempts", None), ("settings.caps.max_attempts", 0),
-    ("settings.caps.max_attempts", -1), ("settings.caps.max_attempts", "5"),
+    ("settings", None),
+    ("limits", None),
+    ("name", None),
+    ("settings.services", []),
+    ("settings.caps", None),
+    ("settings.services.0.effect", None),
+    ("settings.services.1.worth", None),
+    ("settings.caps.max_attempts", None),
+    ("settings.caps.max_attempts", 0),
+    ("settings.caps.max_attempts", -1),
+    ("settings.caps.max_attempts", "5"),
     ("settings.caps.max_attempts", True),
-    ("settings.services.0.give_up_ns", -5), ("settings.services.0.give_up_ns", 0),
-    ("settings.services.0.give_up_ns", "soon"), ("settings.services.0.aim_ns", 0),
-    ("settings.services.0.give_up_ns", float("nan")), ("settings.services.1.name", "lookup"),
+    ("settings.services.0.give_up_ns", -5),
+    ("settings.services.0.give_up_ns", 0),
+    ("settings.services.0.give_up_ns", "soon"),
+    ("settings.services.0.aim_ns", 0),
+    ("settings.services.0.give_up_ns", float("nan")),
+    ("settings.services.1.name", "lookup"),
     ("settings.zones", ["elsewhere"]),
 ]
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", "null", json.dumps(document())[:-40], *(
-    change(path, value) for path, value in BROKEN)])
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", "[]", "null", json.dumps(document())[:-40], *(change(path, value) for path, value in BROKEN)],
+)
 def test_a_broken_file_changes_nothing(text: str, tmp_path: Path) -> None:
     """Such a file may name a dead address of discovery as well: nothing of it is taken."""
     path = tmp_path / "config.json"
@@ -91,11 +113,16 @@
 
 
 BAD: list[tuple[dict[str, Any], str]] = [
-    ({"listen": "here"}, "GW_LISTEN"), ({"listen": "h:99999"}, "GW_LISTEN"),
+    ({"listen": "here"}, "GW_LISTEN"),
+    ({"listen": "h:99999"}, "GW_LISTEN"),
     ({"discovery": None}, "GW_DISCOVERY"),
-    ({"name": ""}, "GW_NAME"), ({"seed": "xyz"}, "seed"), ({"limits": {"sockets": "many"}}, "sockets"),
-    ({"limits": {"memory_mb": 1}}, "memory_mb"), ({"limits": [1]}, "limits"),
-    ({"settings": {}}, "services.count"), ({"settings": None}, "services.count"),
+    ({"name": ""}, "GW_NAME"),
+    ({"seed": "xyz"}, "seed"),
+    ({"limits": {"sockets": "many"}}, "sockets"),
+    ({"limits": {"memory_mb": 1}}, "memory_mb"),
+    ({"limits": [1]}, "limits"),
+    ({"settings": {}}, "services.count"),
+    ({"settings": None}, "services.count"),
 ]
 
 
@@ -150,15 +177,20 @@
     room = environ.pop("GW_ROOM")
     for module in ("weldquay", "weldquay.adapter"):
         done = subprocess.run(
-            [sys.executable, "-m", module, "--room", room], env=environ, capture_output=True, check=False,
-            stdin=subprocess.DEVNULL)
+            [sys.executable, "-m", module, "--room", room],
+            env=environ,
+            capture_output=True,
+            check=False,
+            stdin=subprocess.DEVNULL,
+        )
         assert done.returncode == 2 and done.stdout == b""
         assert b"most_holds is 0: write a whole number from 1 to 256" in done.stderr
         assert done.stderr.startswith(b"weldquay: ") and done.stderr.count(b"\n") == 1
 
 
-@pytest.mark.parametrize("known", [
-    [], {}, "torn", {"members": [{}]}, {"members": [{"id": "w"}], "revision": 3}])
+@pytest.mark.parametrize(
+    "known", [[], {}, "torn", {"members": [{}]}, {"members": [{"id": "w"}], "revision": 3}]
+)
 def test_a_torn_list_is_left_out(known: Any, tmp_path: Path) -> None:
     """It only helps at the start; forty dispatchers that cannot start for it would help nobody."""
     path = tmp_path / "config.json"
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -38,8 +38,9 @@
     """Forty dispatchers start at one moment with an old list; when each has heard from discovery."""
     heard: dict[int, int] = {}
     queue: list[tuple[int, int, int, api.Event]] = []
-    fleet = [Dispatcher(settings(dispatchers=DISPATCHERS, me=me, asks_list=True), me)
-             for me in range(DISPATCHERS)]
+    fleet = [
+        Dispatcher(settings(dispatchers=DISPATCHERS, me=me, asks_list=True), me) for me in range(DISPATCHERS)
+    ]
     for me in range(DISPATCHERS):
         heapq.heappush(queue, (SECOND, len(queue), me, api.Membership(api.ListKind.CACHED, WORKERS)))
     number = len(queue)
@@ -110,8 +111,14 @@
     drive = Dispatcher(settings(dispatchers=DISPATCHERS, me=3), 1)
     drive.step(SECOND, [api.Membership(api.ListKind.CACHED, WORKERS)])
     gone = drive.home[0].entry
-    drive.step(2 * SECOND, [api.Membership(api.ListKind.DELTA, (
-        api.WorkerEntry(gone.worker, api.WorkerState.GONE, common=gone.common),))])
+    drive.step(
+        2 * SECOND,
+        [
+            api.Membership(
+                api.ListKind.DELTA, (api.WorkerEntry(gone.worker, api.WorkerState.GONE, common=gone.common),)
+            )
+        ],
+    )
     assert gone.worker not in {worker.entry.worker for worker in drive.home}
     assert len(drive.home) >= LEAST and isinstance(drive.home[0].pushed, deque)
 
@@ -124,8 +131,11 @@
         fleet = Dispatcher(told, me)
         jobs: list[api.Event] = [api.Request(number, 0, 100 * MS) for number in range(10)]
         fleet.step(SECOND, [api.Membership(api.ListKind.CACHED, ()), *jobs])
-        waits += [action.retry_after_ns for action in fleet.step(2 * SECOND, [api.TimerDue(1)])
-                  if isinstance(action, api.Refuse)]
+        waits += [
+            action.retry_after_ns
+            for action in fleet.step(2 * SECOND, [api.TimerDue(1)])
+            if isinstance(action, api.Refuse)
+        ]
     assert len(waits) == 10 * DISPATCHERS
     waves = Counter(wait // (100 * MS) for wait in waits)
     assert max(waves.values()) < 0.2 * len(waits)
@@ -134,13 +144,17 @@
 
 def test_a_list_of_sixty_of_which_most_change_in_one_line() -> None:
     """Gone, draining and new ones at once: nothing new to those, and the subset is dealt out anew."""
-    fleet = [Dispatcher(settings(dispatchers=DISPATCHERS, me=me, may_probe=False), me)
-             for me in range(DISPATCHERS)]
+    fleet = [
+        Dispatcher(settings(dispatchers=DISPATCHERS, me=me, may_probe=False), me) for me in range(DISPATCHERS)
+    ]
     states = [api.WorkerState.GONE, api.WorkerState.DRAINING, api.WorkerState.READY]
     line = tuple(api.WorkerEntry(w, states[w % 3], common=w) for w in range(1, 52))
     fresh = tuple(api.WorkerEntry(w, api.WorkerState.READY, common=w) for w in range(101, 136))
-    ready = {entry.worker for entry in (*WORKERS, *line, *fresh)
-             if entry.worker > 51 or entry.state is api.WorkerState.READY}
+    ready = {
+        entry.worker
+        for entry in (*WORKERS, *line, *fresh)
+        if entry.worker > 51 or entry.state is api.WorkerState.READY
+    }
     for each in fleet:
         each.step(SECOND, [api.Membership(api.ListKind.CACHED, WORKERS)])
         jobs: list[api.Event] = [api.Request(number, 0, SECOND) for number in range(20)]
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -39,6 +39,7 @@
 
 def test_a_crowd_of_idle_clients_starves_nothing(tmp_path: Any) -> None:
     """The list comes at discovery's return, jobs go out, call-backs and operators' calls come in."""
+
     async def scenario() -> None:
         listen, mgmt = (f"127.0.0.1:{free_port()}" for _ in range(2))
         worker, failing = Scripted("w0", listen), Failing(mute, 0)
@@ -49,14 +50,27 @@
         failing.manner = mute
         path, told = tmp_path / "config.json", document()
         told["limits"]["sockets"] = LEAST_SOCKETS
-        row = {"id": "w0", "host_port": worker.address, "locality": "here", "flavor": "toy", "cell": 0,
-               "phase": "SERVING", "size": 1.0, "up_since_ms": 0}
+        row = {
+            "id": "w0",
+            "host_port": worker.address,
+            "locality": "here",
+            "flavor": "toy",
+            "cell": 0,
+            "phase": "SERVING",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
         told["known"] = {"revision": 1, "complete": True, "members": [row]}
         told |= {"listen": listen, "mgmt": mgmt, "discovery": f"127.0.0.1:{port}"}
         path.write_text(json.dumps(told))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "weldquay", env={**os.environ, "GW_CONFIG": str(path)}, preexec_fn=limit,
-            stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "weldquay",
+            env={**os.environ, "GW_CONFIG": str(path)},
+            preexec_fn=limit,
+            stderr=asyncio.subprocess.PIPE,
+        )
         crowd = []
         try:
             async with asyncio.timeout(30):
@@ -85,4 +99,5 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+
     asyncio.run(scenario())
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -53,9 +53,15 @@
                 assert not plain or "OperatorError" in bases, node.name
 
 
-@pytest.mark.parametrize(("files", "kind"), [
-    ({}, ConfigUnset), ({"GW_CONFIG": "nowhere.json"}, ConfigUnreadable),
-    ({"GW_CONFIG": "list.json"}, ConfigUnreadable), ({"GW_CONFIG": "bare.json"}, ConfigError)])
+@pytest.mark.parametrize(
+    ("files", "kind"),
+    [
+        ({}, ConfigUnset),
+        ({"GW_CONFIG": "nowhere.json"}, ConfigUnreadable),
+        ({"GW_CONFIG": "list.json"}, ConfigUnreadable),
+        ({"GW_CONFIG": "bare.json"}, ConfigError),
+    ],
+)
 def test_a_start_that_fails_says_what_to_do_in_one_line(
     files: dict[str, str], kind: type[ConfigError], tmp_path: Path
 ) -> None:
@@ -78,17 +84,23 @@
         reload({"GW_CONFIG": str(tmp_path / "c.json")}, running)
 
 
-@pytest.mark.parametrize(("call", "code"), [
-    ("POST /control/match-workers/nobody/offline", "unknown-worker"),
-    ("GET /control/fortune", "unknown-operation")])
+@pytest.mark.parametrize(
+    ("call", "code"),
+    [
+        ("POST /control/match-workers/nobody/offline", "unknown-worker"),
+        ("GET /control/fortune", "unknown-operation"),
+    ],
+)
 def test_operators_are_answered_what_to_do(call: str, code: str) -> None:
     """In JSON, with the type's name, so that a program can tell causes apart."""
+
     async def scenario() -> None:
         async with site() as here:
             address = f"127.0.0.1:{here.program.operators.port}"
             answer = await request(address, write_message(f"{call} HTTP/1.1"))
             told = json.loads(answer.body)
             assert answer.status == 404 and told["error"] == code and len(told["remedy"]) > 20
+
     asyncio.run(scenario())
 
 
@@ -107,7 +119,8 @@
             elif isinstance(node, ast.Import):
                 names = [each.name for each in node.names]
             edges.setdefault(own, set()).update(
-                name.split(".")[1] for name in names if name.startswith("weldquay."))
+                name.split(".")[1] for name in names if name.startswith("weldquay.")
+            )
     for each in edges:
         edges[each].discard(each)
     while free := [each for each, others in edges.items() if not others & set(edges)]:
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -17,7 +17,8 @@
 
 SHORT: list[dict[str, Any]] = [
     {"name": name, "aim_ns": 300_000_000, "give_up_ns": 600_000_000, "effect": effect}
-    for name, effect in (("lookup", "retryable"), ("import", "fragile"))]
+    for name, effect in (("lookup", "retryable"), ("import", "fragile"))
+]
 KILL_S = 0.6 + program.KILL_S  # after SIGTERM, with these deadlines
 STEPS = [0.0, 0.2, 0.5, 0.7, 0.9, 0.97, 1.0]  # of the time until all is answered
 
@@ -26,10 +27,13 @@
 @pytest.mark.parametrize("part", STEPS)
 def test_a_call_of_any_instant_after_sigterm_is_answered(part: float, worker_hangs: bool) -> None:
     """On a connection that the client had, or a new one: an answer, or the end before the call was read."""
+
     async def scenario() -> None:
         async with site(services=SHORT) as here:
+
             async def hang(message: Message, writer: asyncio.StreamWriter) -> None:
                 await asyncio.sleep(3600)
+
             if worker_hangs:
                 here.workers[0].script = hang
             port = here.program.acceptor.port
@@ -57,11 +61,13 @@
             assert time.monotonic() - begun < KILL_S + 0.5  # 0.1 s before SIGKILL, unless this machine stalls
             for ends in clients:
                 ends[1].close()
+
     asyncio.run(scenario())
 
 
 def test_connections_are_closed_before_short_deadlines_bring_sigkill() -> None:
     """They were kept for 2 s, and SIGKILL came after 1.3 s on calls that were still coming."""
+
     async def scenario() -> None:
         async with site(services=SHORT) as here:
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
@@ -71,11 +77,12 @@
             assert 0.4 < time.monotonic() - begun < KILL_S
             writer.close()
             await ending
+
     asyncio.run(scenario())
 
 
 def test_a_client_that_reads_nothing_does_not_keep_the_program_past_sigkill(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Its connection is still open when all else is over; nobody waits for it for another second."""
     monkeypatch.setattr(program, "LINGER_S", 30.0)
@@ -87,11 +94,13 @@
             await here.program.finish()
             assert time.monotonic() - begun < KILL_S + 0.5
             kept.close()
+
     asyncio.run(scenario())
 
 
 def test_a_call_in_the_systems_queue_when_the_listener_closes_is_answered() -> None:
     """It was reset with the listener."""
+
     async def scenario() -> None:
         async with site() as here:
             sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
@@ -101,11 +110,13 @@
             got = await asyncio.get_running_loop().sock_recv(sock, 4096)
             assert got.startswith(b"HTTP/1.1 503") and b"Connection: close" in got
             sock.close()
+
     asyncio.run(scenario())
 
 
 def test_sigterm_while_the_list_is_waited_for_ends_the_wait() -> None:
     """An agent is silent at the start: the program must not sit out its patience with it."""
+
     async def scenario() -> None:
         async with site(discovery_mode="push", discovery=(muted := Muted())) as here:
             assert not muted.lists
@@ -116,11 +127,13 @@
             here.program.drain()
             await waiting
             assert time.monotonic() - begun < 1
+
     asyncio.run(scenario())
 
 
 def test_a_second_sigterm_changes_nothing() -> None:
     """Nor does one in the midst of the end."""
+
     async def scenario() -> None:
         async with site(services=SHORT) as here:
             owed = asyncio.create_task(here.post(left_ms=600))
@@ -133,12 +146,14 @@
             assert (await owed).body == b"TEXT"
             await ending
             assert here.program.phase is Phase.STOPPED
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("owed", ["delete", "none"])
 def test_a_worker_that_hangs_holds_the_end_no_longer_than_it_may(owed: str) -> None:
     """A DELETE is owed to it and is not answered."""
+
     async def scenario() -> None:
         async with site(services=SHORT, caps={"probes": False}) as here:
             worker, gone = here.workers[0], asyncio.Event()
@@ -149,6 +164,7 @@
                     gone.set()
                     await asyncio.sleep(3600)
                 await answer(message, writer)
+
             worker.script, worker.answer = worker.accept, hang  # type: ignore[method-assign]
             call = asyncio.create_task(here.post(left_ms=200))
             await worker.until("POST")
@@ -159,4 +175,5 @@
             await here.program.finish()
             assert time.monotonic() - begun < KILL_S + 0.5
             await call
+
     asyncio.run(scenario())
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -43,6 +43,7 @@
 
 def test_a_newer_process_takes_over_and_nothing_ends_at_the_door() -> None:
     """Kept connections go on, calls in hand end at the older one, call-backs find their way once."""
+
     async def scenario() -> None:
         async with site(workers=2) as here:
             older, port = here.program, here.program.acceptor.port
@@ -81,11 +82,13 @@
                 assert not second.acceptor.elsewhere
                 for writer in (rested, mute, caller):
                     writer.close()
+
     asyncio.run(scenario())
 
 
 def test_a_call_that_is_half_sent_waits_for_its_202() -> None:
     """Its call-back comes to the newer process, and is told to the older one; after the 202 it goes on."""
+
     async def scenario() -> None:
         async with site() as here:
             worker, older, gate = here.workers[0], here.program, asyncio.Event()
@@ -93,6 +96,7 @@
             async def slow(message: Message, writer: asyncio.StreamWriter) -> None:
                 await gate.wait()
                 await worker.accept(message, writer)
+
             worker.script = slow
             answers = [asyncio.create_task(here.post(f"c{number}", "/import")) for number in range(2)]
             await until(lambda: len(worker.methods()) == 2)
@@ -107,11 +111,13 @@
                 assert (await answers[1]).body == b"late" and worker.methods() == ["POST"] * 2
                 # What matches nothing at either comes back once, behind what had been sent before.
                 assert second.counters.counts["handover_call-back"] == 1
+
     asyncio.run(scenario())
 
 
 def test_an_adopted_call_that_may_run_again_is_sent_elsewhere_when_lost() -> None:
     """Its sends so far count, a client that leaves ends it, and its deadline is its own."""
+
     async def scenario() -> None:
         async with site(workers=2, caps={"max_attempts": 2}) as here:
             for worker in here.workers:
@@ -123,16 +129,21 @@
                 await until(lambda: second.counters.counts["calls_adopted"])
                 await first.tell("c1", state="lost")
                 await until(lambda: sum(len(each.methods()) for each in here.workers) == 2)
-                last = next(each for each in here.workers if each.methods()[-1:] and (
-                    each is not first or len(each.methods()) == 2))
+                last = next(
+                    each
+                    for each in here.workers
+                    if each.methods()[-1:] and (each is not first or len(each.methods()) == 2)
+                )
                 writer.close()
                 await until(lambda: last.methods()[-1] == "DELETE")
                 assert second.counters.counts["clients_gone"] == 1 and not second.exchange.calls
+
     asyncio.run(scenario())
 
 
 def test_the_list_is_inherited_and_news_since_then_asked_for() -> None:
     """A worker that drains must not get work from the file's old list; discovery may be away for a while."""
+
     async def scenario() -> None:
         async with site(workers=2) as here:
             await here.discovery.change(here.workers[0], "DRAINING")
@@ -140,17 +151,22 @@
             here.discovery.stop()  # the file still says that both serve
             async with newer(here) as second:
                 assert [worker.member.state.value for worker in second.workers.known.values()] == [
-                    "draining", "ready"]
+                    "draining",
+                    "ready",
+                ]
                 assert second.registry.revision == here.discovery.revision
                 for number in range(4):
                     assert (await here.post(f"c{number}")).body == b"TEXT"
                 assert here.workers[0].methods() == []
+
     asyncio.run(scenario())
 
 
 def test_what_waits_in_the_systems_queue_is_served_by_the_newer_process(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The listener itself is passed on: of two listeners the closing one resets what waits at it."""
+
     async def scenario() -> None:
         async with site() as here:
             here.program.acceptor.stop_accepting()
@@ -164,12 +180,14 @@
                     assert (await read_message(reader)).body == b"TEXT"
                     writer.close()
                 assert second.counters.counts["calls"] == 9
+
     monkeypatch.setattr(program, "LIST_S", 0.2)
     asyncio.run(scenario())
 
 
 def test_an_older_process_goes_on_if_the_newer_one_ends_midway() -> None:
     """Before it is ready, and after: what it did not take comes back."""
+
     async def scenario() -> None:
         async with site() as here:
             told: list[handover.Message] = []
@@ -192,21 +210,25 @@
                 if message.file >= 0:
                     os.close(message.file)
             writer.close()
+
     asyncio.run(scenario())
 
 
 def test_one_that_only_looks_does_not_stand_before_one_that_asks() -> None:
     """Both wait at the socket when the older process gets to it."""
+
     async def scenario() -> None:
         async with site() as here:
             looking = handover.answers(NAME)
             async with newer(here) as second:
                 assert looking and here.program.phase is Phase.HANDED_OVER and second.ready()
+
     asyncio.run(scenario())
 
 
 def test_out_of_service_is_passed_on() -> None:
     """The drain that operators asked for holds until they end it."""
+
     async def scenario() -> None:
         async with site() as here:
             await here.operate("out-of-service")
@@ -214,13 +236,16 @@
                 assert second.ready() and await here.health() == 503
                 assert second.out_since == here.program.out_since  # its time goes on
                 assert second.in_service() and await here.health() == 200
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("left", ["stale", "file", "silent", "nonsense"])
 def test_without_a_peer_that_answers_it_is_an_ordinary_start(
-        left: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    left: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """What a killed process left, or one that says nothing or nonsense, stops nobody."""
+
     async def scenario() -> None:
         door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         if left == "file":
@@ -240,12 +265,14 @@
         if left == "nonsense":
             loop.remove_reader(door)
         door.close()
+
     monkeypatch.setattr(handover, "ASK_S", 0.2)
     asyncio.run(scenario())
 
 
 def test_messages_with_descriptors_wait_for_their_reader() -> None:
     """More than the system's buffer holds; all come, in order, and none is left open."""
+
     async def scenario() -> None:
         ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         got: list[handover.Message] = []
@@ -262,11 +289,13 @@
         assert len(os.listdir("/proc/self/fd")) == files
         first.close()
         second.close()
+
     asyncio.run(scenario())
 
 
 def test_what_a_process_sent_before_its_end_is_taken_in_all_the_same() -> None:
     """It ended with something unread: the reset came first, and 25 connections were lost behind it."""
+
     async def scenario() -> None:
         ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         got: list[handover.Message] = []
@@ -278,15 +307,21 @@
         ends[0].close()
         await lost.wait()
         assert [each.told["number"] for each in got] == list(range(9))
+
     asyncio.run(scenario())
 
 
 def test_two_processes_as_run_starts_them(tmp_path: Path) -> None:
     """The newer one's file is broken meanwhile: it begins with the older one's; both end with status 0."""
+
     async def start(mgmt: int) -> tuple[asyncio.subprocess.Process, asyncio.StreamReader]:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "weldquay", stderr=asyncio.subprocess.PIPE, env={
-                **os.environ, "GW_CONFIG": str(path), "GW_NAME": NAME, "GW_MGMT": f"127.0.0.1:{mgmt}"})
+            sys.executable,
+            "-m",
+            "weldquay",
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "GW_CONFIG": str(path), "GW_NAME": NAME, "GW_MGMT": f"127.0.0.1:{mgmt}"},
+        )
         assert process.stderr is not None
         return process, process.stderr
 
@@ -311,6 +346,7 @@
                 await until_told(lines, b"is stopped")
                 await lines.read()
                 assert await process.wait() == 0
+
     path = tmp_path / "config.json"
     asyncio.run(scenario())
 
@@ -325,13 +361,16 @@
 
 
 def test_without_unix_sockets_it_starts_and_serves_alone(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     """No handover is to be had: it says so once at each end and serves."""
+
     async def scenario() -> None:
         async with site() as here:
             assert here.program.phase is Phase.SERVING and here.program.handover.door is None
             assert (await here.post()).body == b"TEXT" and await here.health() == 200
             assert not handover.answers(NAME)
+
     monkeypatch.setattr(socket, "socket", NoUnix)
     with caplog.at_level("INFO", logger=handover.__name__):
         asyncio.run(scenario())
@@ -359,6 +398,7 @@
 
 def test_a_process_that_took_over_waits_for_its_own_newer_one_to_take_in_all() -> None:
     """Its older process's end had set the events: its next handover closed 67 calls unsent, on the bench."""
+
     async def scenario() -> None:
         first, second = (handover.Handover(NAME, Counters(), Alone()) for _ in range(2))
         first.listen()
@@ -386,4 +426,5 @@
         await parting
         second.stop()
         third.close()
+
     asyncio.run(scenario())
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -14,8 +14,15 @@
 from weldquay import interface as api
 
 KEYED: list[dict[str, Any]] = [
-    {"name": "lookup", "aim_ns": 1_000_000_000, "give_up_ns": 5_000_000_000, "effect": "dedup",
-     "group": "all", "window_ns": 400_000_000}]
+    {
+        "name": "lookup",
+        "aim_ns": 1_000_000_000,
+        "give_up_ns": 5_000_000_000,
+        "effect": "dedup",
+        "group": "all",
+        "window_ns": 400_000_000,
+    }
+]
 
 
 class Held:
@@ -51,6 +58,7 @@
 @pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
 def test_a_repeat_that_waits_for_a_delete_is_not_sent_to_a_worker_that_leaves_meanwhile(phase: str) -> None:
     """The wait lasts up to 2 s; the list's line comes within it."""
+
     async def scenario() -> None:
         async with site(caps={"probes": False}) as here:
             held = await repeat_waits(here)
@@ -59,11 +67,13 @@
             held.gate.set()
             assert (await held.call).status == 503
             assert held.posts == 1
+
     asyncio.run(scenario())
 
 
 def test_a_repeat_that_waits_for_a_delete_is_not_sent_after_its_window() -> None:
     """The worker drops repeats for 0.4 s; the wait for its answer to the DELETE is longer."""
+
     async def scenario() -> None:
         async with site(caps={"probes": False}, services=KEYED, family_info={"class_stretch": [2.0]}) as here:
             held = await repeat_waits(here)
@@ -72,12 +82,14 @@
             held.gate.set()
             assert (await held.call).status == 502
             assert held.posts == 1
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("several", [False, True])
 def test_a_repeat_elsewhere_waits_for_the_delete_where_no_second_copy_is_allowed(several: bool) -> None:
     """A reset took back the first worker's 202: its job runs on until the DELETE has come."""
+
     async def scenario() -> None:
         async with site(workers=2, caps={"probes": False, "may_duplicate": several}) as here:
             gate, posts = asyncio.Event(), list[Scripted]()
@@ -95,12 +107,15 @@
                     if message.method == "DELETE":
                         await gate.wait()
                     await answer(message, writer)
+
                 worker.answer = take  # type: ignore[method-assign]
+
             for worker in here.workers:
                 play(worker)
             call = asyncio.create_task(here.post())
-            await until(lambda: call.done() or any(
-                each.sends == 2 for each in here.program.exchange.calls.values()))
+            await until(
+                lambda: call.done() or any(each.sends == 2 for each in here.program.exchange.calls.values())
+            )
             if several:
                 assert (await call).body == b"TEXT"  # at once, with the DELETE still on its way
             else:
@@ -108,6 +123,7 @@
                 assert len(posts) == 1
             gate.set()
             assert (await call).body == b"TEXT" and len(posts) == 2
+
     asyncio.run(scenario())
 
 
@@ -130,6 +146,7 @@
     drive = Drive(settings(classes=(rules,), may_probe=False), workers=2)
     (first,) = sends(drive.step(api.Request(1, 0, 9 * SECOND)))
     sent_ns = drive.now
-    (again,) = sends(drive.step(
-        api.AttemptEnded(1, 0, first.worker, api.Outcome.RESET, MS, False), after=300 * MS))
+    (again,) = sends(
+        drive.step(api.AttemptEnded(1, 0, first.worker, api.Outcome.RESET, MS, False), after=300 * MS)
+    )
     assert first.begin_by_ns == 0 and again.begin_by_ns == sent_ns + 900 * MS
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -37,9 +37,16 @@
 async def accepted(here: Site, sock: socket.socket) -> Connection:
     """The dispatcher's end of a client's connection."""
     name = sock.getsockname()
-    found: Connection = await until(lambda: next((
-        each for each in here.program.acceptor.connections
-        if each.writer.get_extra_info("peername") == name), None))
+    found: Connection = await until(
+        lambda: next(
+            (
+                each
+                for each in here.program.acceptor.connections
+                if each.writer.get_extra_info("peername") == name
+            ),
+            None,
+        )
+    )
     return found
 
 
@@ -66,6 +73,7 @@
 @pytest.mark.parametrize("behind", [b"x", b"POST /lookup HTTP/1.1\r\n", b"y" * 50_000])
 def test_bytes_behind_the_last_answer_do_not_take_it_back(behind: bytes) -> None:
     """The answer closes its connection, and is still on its way when more comes."""
+
     async def scenario() -> None:
         async with site() as here:
             large_results(here)
@@ -79,6 +87,7 @@
             assert got.startswith(b"HTTP/1.1 200") and got.endswith(BIG.encode()[-100:])
             assert got.count(b"r") >= len(BIG)
             sock.close()
+
     asyncio.run(scenario())
 
 
@@ -104,6 +113,7 @@
             got = await taken(sock, 0.03)
             assert got.count(b"r") >= len(BIG) and time.monotonic() - begun > 0.4
             sock.close()
+
     asyncio.run(scenario())
 
 
@@ -121,11 +131,13 @@
             await until(lambda: connection.leaving)
             await until(lambda: not here.program.acceptor.connections)
             sock.close()
+
     asyncio.run(scenario())
 
 
 def test_a_request_on_a_connection_that_was_just_shut_is_not_sent_on() -> None:
     """The client finds the end, not a reset, and no answer: it comes again elsewhere."""
+
     async def scenario() -> None:
         async with site() as here:
             sock, _ = await rested(here)
@@ -136,12 +148,14 @@
             assert not here.program.exchange.calls and here.workers[0].methods() == ["POST"]
             sock.close()
             await until(lambda: not here.program.acceptor.connections)
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("where", ["system", "reader"])
 def test_a_request_that_came_before_the_shutdown_is_answered(where: str) -> None:
     """It waits at the system, or has been read by the loop and not yet by the connection."""
+
     async def scenario() -> None:
         async with site() as here:
             sock, connection = await rested(here)
@@ -153,19 +167,26 @@
             got = await taken(sock)
             assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got and got.endswith(b"TEXT")
             sock.close()
+
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("behind", [0, 200_000])
-@pytest.mark.parametrize(("data", "status"), [
-    (write_message("GET /lookup HTTP/1.1"), b"405"), (write_message("POST /unknown HTTP/1.1"), b"404"),
-    (b"nonsense\r\n\r\n", b"400"),
-    (b"POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n", b"413"),
-    (write_message("GET /_health HTTP/1.1"), b"200")])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (write_message("GET /lookup HTTP/1.1"), b"405"),
+        (write_message("POST /unknown HTTP/1.1"), b"404"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"POST /lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n", b"413"),
+        (write_message("GET /_health HTTP/1.1"), b"200"),
+    ],
+)
 def test_the_last_answer_arrives_whatever_comes_behind_the_request(
     data: bytes, status: bytes, behind: int
 ) -> None:
     """A client that sends on is read to its end, so that its answer is not lost to a reset."""
+
     async def scenario() -> None:
         async with site() as here:
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
@@ -178,11 +199,13 @@
             assert got.startswith(b"HTTP/1.1 " + status)
             writer.close()
             await until(lambda: not here.program.acceptor.connections)
+
     asyncio.run(scenario())
 
 
 def test_an_idle_connection_with_a_request_on_it_is_not_timed_out() -> None:
     """Its time is over in the moment in which its first bytes have come."""
+
     async def scenario() -> None:
         async with site() as here:
             sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
@@ -193,11 +216,13 @@
             got = await asyncio.get_running_loop().sock_recv(sock, 4096)
             assert got.startswith(b"HTTP/1.1 200")
             sock.close()
+
     asyncio.run(scenario())
 
 
 def test_room_is_made_without_closing_on_what_has_come() -> None:
     """Neither a connection whose request waits to be read nor one whose answer is still on its way."""
+
     async def scenario() -> None:
         async with site() as here:
             large_results(here)
@@ -217,4 +242,5 @@
             assert got.startswith(b"HTTP/1.1 200")
             slow.close()
             fresh.close()
+
     asyncio.run(scenario())
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -26,10 +26,14 @@
 SILENT_S = registry.BEAT_S + registry.LATE_S
 # By the page's name of a failure: how long until it shows, and how it is told.
 FAILURES = {
-    "refused at once": (0.0, UNREACHED), "connection never comes up": (registry.ANSWER_S, UNREACHED),
-    "503 or reset at once": (0.0, UNREACHED), "no answer at all": (registry.ANSWER_S, ENDED),
-    "no value after its head": (registry.VALUE_S, ENDED), "silent watch": (SILENT_S, ENDED),
-    "value that never ends": (registry.VALUE_S, ENDED), "watch reset or ended": (SILENT_S, ENDED),
+    "refused at once": (0.0, UNREACHED),
+    "connection never comes up": (registry.ANSWER_S, UNREACHED),
+    "503 or reset at once": (0.0, UNREACHED),
+    "no answer at all": (registry.ANSWER_S, ENDED),
+    "no value after its head": (registry.VALUE_S, ENDED),
+    "silent watch": (SILENT_S, ENDED),
+    "value that never ends": (registry.VALUE_S, ENDED),
+    "watch reset or ended": (SILENT_S, ENDED),
 }
 
 
@@ -174,8 +178,16 @@
 
 def hurry(monkeypatch: pytest.MonkeyPatch) -> None:
     """All clocks at a tenth."""
-    for name in ("FIRST_NS", "SPACE_NS", "START_NS", "CLOCK_NS", "QUEUE_NS", "MARGIN_NS", "MOST_NS",
-                 "SOON_NS"):
+    for name in (
+        "FIRST_NS",
+        "SPACE_NS",
+        "START_NS",
+        "CLOCK_NS",
+        "QUEUE_NS",
+        "MARGIN_NS",
+        "MOST_NS",
+        "SOON_NS",
+    ):
         monkeypatch.setattr(pace, name, getattr(pace, name) // 10)
     for name in ("BEAT_S", "LATE_S", "ANSWER_S", "VALUE_S", "BUSY_S"):
         monkeypatch.setattr(registry, name, getattr(registry, name) / 10)
@@ -187,8 +199,9 @@
     assert (await here.post(left_ms=300)).status == 503 and here.workers[0].methods() == []
 
 
-@pytest.mark.parametrize("manner", [
-    reset, busy, mute, head, half, endless, revision_then_reset, ended, backwards, garbage])
+@pytest.mark.parametrize(
+    "manner", [reset, busy, mute, head, half, endless, revision_then_reset, ended, backwards, garbage]
+)
 @pytest.mark.parametrize("dispatchers", [3, 200])
 def test_a_drain_behind_a_failed_call_is_heeded(
     manner: Manner, dispatchers: int, monkeypatch: pytest.MonkeyPatch
@@ -205,6 +218,7 @@
             assert failing.asked[2] - failing.asked[1] < 2
             if manner is backwards:
                 assert failing.targets[2].endswith("since=0")
+
     asyncio.run(scenario())
 
 
@@ -220,6 +234,7 @@
             await heeded(here, failing)
             assert time.monotonic() - begun < 2  # 0.3 s; before, 5 s and a wait of up to 10 s
             assert here.program.counters.counts["lists_unanswered"] == 1
+
     asyncio.run(scenario())
 
 
@@ -239,6 +254,7 @@
             begun = time.monotonic()
             await heeded(here, failing)
             assert time.monotonic() - begun < 2  # 0.36 s; before, up to 10 s
+
     asyncio.run(scenario())
 
 
@@ -261,4 +277,5 @@
             await until(lambda: time.monotonic() - begun > 0.5)
             assert len(new.asked) <= 4 and new.targets[0].endswith("since=0")
         new.stop()
+
     asyncio.run(scenario())
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -127,9 +127,14 @@
     """Late, repeated and unknown events change nothing and raise nothing."""
     drive = Drive()
     drive.step(
-        api.AttemptEnded(5, 0, 99, Outcome.OK, 1, True), api.ClientGone(5), api.AttemptNote(5, 0, 1, 0.5),
-        api.ProbeEnded(99, Outcome.OK, 1), api.StreamBegun(5, 0, 1), api.PeerMessage(3, b"?"),
-        api.TimerDue(9))
+        api.AttemptEnded(5, 0, 99, Outcome.OK, 1, True),
+        api.ClientGone(5),
+        api.AttemptNote(5, 0, 1, 0.5),
+        api.ProbeEnded(99, Outcome.OK, 1),
+        api.StreamBegun(5, 0, 1),
+        api.PeerMessage(3, b"?"),
+        api.TimerDue(9),
+    )
     with pytest.raises(IndexError):
         drive.step(api.Request(1, 4, SECOND))
 
@@ -366,8 +371,10 @@
     drive.end(slow, Outcome.OK, over=True)
     for number in range(60, 70):
         drive.report(slow.worker, 4.0)
-        assert all(send.worker != slow.worker for send in sends(
-            drive.step(api.Request(number, 0, 10 * SECOND, hint_ns=100 * MS))))
+        assert all(
+            send.worker != slow.worker
+            for send in sends(drive.step(api.Request(number, 0, 10 * SECOND, hint_ns=100 * MS)))
+        )
 
 
 def idle_pair(**changes: Any) -> tuple[Drive, api.Send]:
@@ -469,18 +476,20 @@
     sent: Counter[int] = Counter()
     for me in range(150):
         drive = Drive(settings(dispatchers=150, me=me, may_probe=False), workers=0)
-        cold = tuple(api.WorkerEntry(w, api.WorkerState.READY, started_ns=drive.now, common=7 * w)
-                     for w in range(1, 21))
+        cold = tuple(
+            api.WorkerEntry(w, api.WorkerState.READY, started_ns=drive.now, common=7 * w)
+            for w in range(1, 21)
+        )
         warm = tuple(api.WorkerEntry(w, api.WorkerState.READY) for w in range(21, 31))
         drive.step(api.Membership(api.ListKind.CACHED, cold + warm))
-        sent.update(send.worker for send in sends(drive.step(
-            *[api.Request(n, 0, 10 * SECOND) for n in range(20)])))
+        sent.update(
+            send.worker for send in sends(drive.step(*[api.Request(n, 0, 10 * SECOND) for n in range(20)]))
+        )
     # N is 2.4: 2 slots at a fifth, three times that for 2 s, of jobs of 1 s.
-    assert max(sent[worker] for worker in range(1, 21)) <= 2.4 + 2 * 2.4 ** 0.5 + 2
+    assert max(sent[worker] for worker in range(1, 21)) <= 2.4 + 2 * 2.4**0.5 + 2
     assert sum(sent[worker] for worker in range(1, 21)) > 10
 
 
-
 def test_a_banned_worker_gets_nothing_until_it_is_put_back() -> None:
     """Neither jobs nor probes, whatever the list says; then it is probed at once, and counts as cold."""
     drive = Drive(settings(cold_share=0.2, overload_for_ns=2 * SECOND), workers=1)
@@ -603,8 +612,10 @@
 def test_a_cold_workers_slow_service_is_not_held_against_it() -> None:
     """A worker that has just started is slow by the platform's rules: its told times count for nothing."""
     drive = Drive(workers=4)
-    entries = [api.WorkerEntry(w, api.WorkerState.READY, cell=w // 2, started_ns=drive.now if w == 1 else 0)
-               for w in drive.worker_ids]
+    entries = [
+        api.WorkerEntry(w, api.WorkerState.READY, cell=w // 2, started_ns=drive.now if w == 1 else 0)
+        for w in drive.worker_ids
+    ]
     drive.step(api.Membership(api.ListKind.CACHED, tuple(entries)))
     for number in range(6):
         for worker in drive.worker_ids:
@@ -613,9 +624,14 @@
     assert drive.dispatcher.running.service[0][1] == 18  # the three warm ones, six times
 
 
-@pytest.mark.parametrize(("waits_ms", "hint_ns", "order"), [
-    ((1400, 900, 100), 0, [3, 2, 1]), ((400, 300, 100), 0, [1, 2, 3]),
-    ((1400, 900, 100), 800 * MS, [1, 2, 3])])
+@pytest.mark.parametrize(
+    ("waits_ms", "hint_ns", "order"),
+    [
+        ((1400, 900, 100), 0, [3, 2, 1]),
+        ((400, 300, 100), 0, [1, 2, 3]),
+        ((1400, 900, 100), 800 * MS, [1, 2, 3]),
+    ],
+)
 def test_held_jobs_that_can_hardly_be_in_time_come_last(
     waits_ms: tuple[int, ...], hint_ns: int, order: list[int]
 ) -> None:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -20,16 +20,19 @@
 ID = (b"x-correlation-id", b"c1")
 
 
-@pytest.mark.parametrize(("headers", "expected"), [
-    ([], Figures("c1", None)),
-    ([(b"x-time-left-ms", b"480")], Figures("c1", 480_000_000)),
-    ([(b"x-time-left-ms", b"0")], Figures("c1", 0)),
-    ([(b"x-weight-hint", b"1500")], Figures("c1", None, hint_ns=1_500_000)),
-    ([(b"x-repeat", b"1")], Figures("c1", None, repeat=True)),
-    ([(b"x-facts", b"slots=2,memory=1.5")], Figures("c1", None, slots=2.0, memory=1.5)),
-    ([(b"x-facts", b" width=4 , ram_units=0.5, other=9")], Figures("c1", None, slots=4.0, memory=0.5)),
-    ([(b"cookie", b"a=b")], Figures("c1", None)),
-])
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([], Figures("c1", None)),
+        ([(b"x-time-left-ms", b"480")], Figures("c1", 480_000_000)),
+        ([(b"x-time-left-ms", b"0")], Figures("c1", 0)),
+        ([(b"x-weight-hint", b"1500")], Figures("c1", None, hint_ns=1_500_000)),
+        ([(b"x-repeat", b"1")], Figures("c1", None, repeat=True)),
+        ([(b"x-facts", b"slots=2,memory=1.5")], Figures("c1", None, slots=2.0, memory=1.5)),
+        ([(b"x-facts", b" width=4 , ram_units=0.5, other=9")], Figures("c1", None, slots=4.0, memory=0.5)),
+        ([(b"cookie", b"a=b")], Figures("c1", None)),
+    ],
+)
 def test_figures_of_a_call(headers: list[tuple[bytes, bytes]], expected: Figures) -> None:
     """What the head of a call says."""
     assert messages.figures([ID, *headers]) == expected
@@ -37,28 +40,50 @@
 
 def test_a_key_is_the_same_number_each_time() -> None:
     """Calls about the same object belong together, wherever the cookie stands."""
-    one, two, other = (messages.figures([ID, (b"cookie", value)]).key for value in (
-        b"obj=7f3a", b"x=1; obj=7f3a", b"obj=7f3b"))
+    one, two, other = (
+        messages.figures([ID, (b"cookie", value)]).key
+        for value in (b"obj=7f3a", b"x=1; obj=7f3a", b"obj=7f3b")
+    )
     assert one == two != other and 0 < one < 2**64
 
 
-@pytest.mark.parametrize("headers", [
-    [], [(b"x-correlation-id", b"")], [(b"x-correlation-id", b"a/b")], [(b"x-correlation-id", b"a b")],
-    [(b"x-correlation-id", b"\xe9")], [(b"x-correlation-id", b"a" * 129)],
-    [ID, (b"x-time-left-ms", b"soon")], [ID, (b"x-time-left-ms", b"-1")], [ID, (b"x-time-left-ms", b"nan")],
-    [ID, (b"x-time-left-ms", b"1e3")], [ID, (b"x-time-left-ms", b"1_0")], [ID, (b"x-time-left-ms", b"")],
-    [ID, (b"x-time-left-ms", b"9" * 5000)], [ID, (b"x-weight-hint", b"")], [ID, (b"x-facts", b"slots")],
-    [ID, (b"x-facts", b"slots=inf")],
-])
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [],
+        [(b"x-correlation-id", b"")],
+        [(b"x-correlation-id", b"a/b")],
+        [(b"x-correlation-id", b"a b")],
+        [(b"x-correlation-id", b"\xe9")],
+        [(b"x-correlation-id", b"a" * 129)],
+        [ID, (b"x-time-left-ms", b"soon")],
+        [ID, (b"x-time-left-ms", b"-1")],
+        [ID, (b"x-time-left-ms", b"nan")],
+        [ID, (b"x-time-left-ms", b"1e3")],
+        [ID, (b"x-time-left-ms", b"1_0")],
+        [ID, (b"x-time-left-ms", b"")],
+        [ID, (b"x-time-left-ms", b"9" * 5000)],
+        [ID, (b"x-weight-hint", b"")],
+        [ID, (b"x-facts", b"slots")],
+        [ID, (b"x-facts", b"slots=inf")],
+    ],
+)
 def test_malformed_figures(headers: list[tuple[bytes, bytes]]) -> None:
     """A call with such a head is answered 400."""
     with pytest.raises(MessageError):
         messages.figures(headers)
 
 
-@pytest.mark.parametrize(("path", "name"), [
-    (b"/render", b"render"), (b"/render/a/b", b"render"), (b"//render", b""), (b"/", b""), (b"*", b"*"),
-])
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        (b"/render", b"render"),
+        (b"/render/a/b", b"render"),
+        (b"//render", b""),
+        (b"/", b""),
+        (b"*", b"*"),
+    ],
+)
 def test_class_of_a_call(path: bytes, name: bytes) -> None:
     """The first part of the path."""
     assert messages.class_name(path) == name
@@ -71,38 +96,63 @@
     assert messages.last_answer(503, b"text", head=True) == head
 
 
-@pytest.mark.parametrize(("told", "expected"), [
-    ({"state": "started"}, CallBack("c", "w", None)),
-    ({"state": "running", "share": 0.4}, CallBack("c", "w", None, progress=0.4)),
-    ({"state": "done", "result": "r"}, CallBack("c", "w", api.Outcome.OK, result="r")),
-    ({"state": "done", "result": "", "load": LOAD}, CallBack("c", "w", api.Outcome.OK, load=REPORT)),
-    ({"state": "failed"}, CallBack("c", "w", api.Outcome.ERROR)),
-    ({"state": "returned", "load": LOAD}, CallBack("c", "w", api.Outcome.FULL, load=REPORT)),
-    ({"state": "lost", "load": {"x0": 1}}, CallBack("c", "w", api.Outcome.RESET)),
-])
+@pytest.mark.parametrize(
+    ("told", "expected"),
+    [
+        ({"state": "started"}, CallBack("c", "w", None)),
+        ({"state": "running", "share": 0.4}, CallBack("c", "w", None, progress=0.4)),
+        ({"state": "done", "result": "r"}, CallBack("c", "w", api.Outcome.OK, result="r")),
+        ({"state": "done", "result": "", "load": LOAD}, CallBack("c", "w", api.Outcome.OK, load=REPORT)),
+        ({"state": "failed"}, CallBack("c", "w", api.Outcome.ERROR)),
+        ({"state": "returned", "load": LOAD}, CallBack("c", "w", api.Outcome.FULL, load=REPORT)),
+        ({"state": "lost", "load": {"x0": 1}}, CallBack("c", "w", api.Outcome.RESET)),
+    ],
+)
 def test_callbacks(told: dict[str, Any], expected: CallBack) -> None:
     """What a worker tells of a job, from a view of the buffer as from bytes."""
     data = json.dumps({"id": "c", "from": "w", **told}).encode()
     assert messages.callback(data, FIELDS) == messages.callback(memoryview(data), FIELDS) == expected
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"{", b"[]", b"null", b'{"id":"c","from":"w"}', b'{"id":"c","from":"w","state":"odd"}',
-    b'{"id":"c","from":"w","state":["done"]}', b'{"id":1,"from":"w","state":"started"}',
-    b'{"id":"c","state":"started"}', b'{"id":"c","from":"w","state":"done"}',
-    b'{"id":"c","from":"w","state":"done","result":{}}', b'{"id":"c","from":"w","state":"running","share":2}',
-    b'{"id":"c","from":"w","state":"running","share":true}', b"\xff\xfe",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b'{"id":"c","from":"w"}',
+        b'{"id":"c","from":"w","state":"odd"}',
+        b'{"id":"c","from":"w","state":["done"]}',
+        b'{"id":1,"from":"w","state":"started"}',
+        b'{"id":"c","state":"started"}',
+        b'{"id":"c","from":"w","state":"done"}',
+        b'{"id":"c","from":"w","state":"done","result":{}}',
+        b'{"id":"c","from":"w","state":"running","share":2}',
+        b'{"id":"c","from":"w","state":"running","share":true}',
+        b"\xff\xfe",
+    ],
+)
 def test_malformed_callbacks(data: bytes) -> None:
     """Such a call-back is answered 400 and changes nothing."""
     with pytest.raises(MessageError):
         messages.callback(data, FIELDS)
 
 
-@pytest.mark.parametrize("data", [
-    None, b"", b"{", b"[]", b"{}", b'{"svc_ms":1,"pending":1}', b'{"svc_ms":1,"pending":1,"x0":"3"}',
-    b'{"svc_ms":1,"pending":1,"x0":-1}', b'{"svc_ms":1,"pending":1,"x0":true}',
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        None,
+        b"",
+        b"{",
+        b"[]",
+        b"{}",
+        b'{"svc_ms":1,"pending":1}',
+        b'{"svc_ms":1,"pending":1,"x0":"3"}',
+        b'{"svc_ms":1,"pending":1,"x0":-1}',
+        b'{"svc_ms":1,"pending":1,"x0":true}',
+    ],
+)
 def test_a_bad_load_report_is_none(data: bytes | None) -> None:
     """It never becomes room that is not there."""
     assert messages.load_in(data, FIELDS) is None
@@ -111,27 +161,51 @@
 
 def member(**changes: Any) -> dict[str, Any]:
     """A line of discovery's list."""
-    return {"id": "s-1", "host_port": "127.0.0.1:80", "locality": "a", "flavor": "m", "cell": 3,
-            "phase": "SERVING", "size": 1.5, "up_since_ms": 7, **changes}
-
-
-@pytest.mark.parametrize(("phase", "state"), [
-    ("SERVING", api.WorkerState.READY), ("DRAINING", api.WorkerState.DRAINING),
-    ("DELETED", api.WorkerState.GONE)])
+    return {
+        "id": "s-1",
+        "host_port": "127.0.0.1:80",
+        "locality": "a",
+        "flavor": "m",
+        "cell": 3,
+        "phase": "SERVING",
+        "size": 1.5,
+        "up_since_ms": 7,
+        **changes,
+    }
+
+
+@pytest.mark.parametrize(
+    ("phase", "state"),
+    [
+        ("SERVING", api.WorkerState.READY),
+        ("DRAINING", api.WorkerState.DRAINING),
+        ("DELETED", api.WorkerState.GONE),
+    ],
+)
 def test_members(phase: str, state: api.WorkerState) -> None:
     """Revision, completeness and every figure of a line."""
     data = json.dumps({"revision": 4, "complete": False, "members": [member(phase=phase)]}).encode()
     assert messages.members(data) == messages.MemberList(
-        4, False, (messages.Member("s-1", "127.0.0.1", 80, "a", "m", 3, state, 1.5, 7),))
-
-
-@pytest.mark.parametrize("told", [
-    [], {}, {"revision": 1, "members": {}}, {"revision": "1", "members": []}, {"members": []},
-    {"revision": 1, "members": [1]}, {"revision": 1, "members": [member(id=5)]},
-    {"revision": 1, "members": [member(host_port="127.0.0.1")]},
-    {"revision": 1, "members": [member(host_port="127.0.0.1:70000")]},
-    {"revision": 1, "members": [member(phase="ODD")]}, {"revision": 1, "members": [member(cell="x")]},
-])
+        4, False, (messages.Member("s-1", "127.0.0.1", 80, "a", "m", 3, state, 1.5, 7),)
+    )
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        [],
+        {},
+        {"revision": 1, "members": {}},
+        {"revision": "1", "members": []},
+        {"members": []},
+        {"revision": 1, "members": [1]},
+        {"revision": 1, "members": [member(id=5)]},
+        {"revision": 1, "members": [member(host_port="127.0.0.1")]},
+        {"revision": 1, "members": [member(host_port="127.0.0.1:70000")]},
+        {"revision": 1, "members": [member(phase="ODD")]},
+        {"revision": 1, "members": [member(cell="x")]},
+    ],
+)
 def test_malformed_lists(told: Any) -> None:
     """A watch that tells such a line counts as failed."""
     with pytest.raises(MessageError):
@@ -142,9 +216,12 @@
 @given(some.binary(max_size=200))
 def test_any_bytes_are_read_or_refused(data: bytes) -> None:
     """No input raises anything but MessageError."""
-    for parse in (lambda: messages.callback(data, FIELDS), lambda: messages.members(data),
-                  lambda: messages.figures([ID, (b"x-facts", data), (b"cookie", data)]),
-                  lambda: messages.call_id(data)):
+    for parse in (
+        lambda: messages.callback(data, FIELDS),
+        lambda: messages.members(data),
+        lambda: messages.figures([ID, (b"x-facts", data), (b"cookie", data)]),
+        lambda: messages.call_id(data),
+    ):
         try:
             parse()
         except MessageError as error:
@@ -155,22 +232,35 @@
     """What a worker is sent besides the body."""
     job = messages.Job(b"/x", b"abc", b"text/plain")
     assert messages.job_headers("c1", job, 1_999_999, "h:1") == [
-        (b"Host", b"h:1"), (b"X-Correlation-Id", b"c1"), (b"X-Time-Left-Ms", b"1"),
-        (b"Content-Length", b"3"), (b"Content-Type", b"text/plain")]
+        (b"Host", b"h:1"),
+        (b"X-Correlation-Id", b"c1"),
+        (b"X-Time-Left-Ms", b"1"),
+        (b"Content-Length", b"3"),
+        (b"Content-Type", b"text/plain"),
+    ]
     assert messages.retry_after(1_250_000_000) == b"1.250"
     assert messages.watch_target(41) == b"/catalog/members?follow=1&since=41"
 
 
-@pytest.mark.parametrize(("method", "target", "expected"), [
-    (b"GET", b"/control/ready", ("ready", "")), (b"POST", b"/control/ready", None),
-    (b"POST", b"/control/out-of-service", ("out-of-service", "")),
-    (b"POST", b"/control/in-service?now", ("in-service", "")), (b"GET", b"/control/in-service", None),
-    (b"POST", b"/control/match-workers/s-1/offline", ("offline", "s-1")),
-    (b"POST", b"/control/match-workers/a%2Fb/online", ("online", "a/b")),
-    (b"GET", b"/control/match-workers/s-1/online", None), (b"POST", b"/control/match-workers//online", None),
-    (b"POST", b"/control/match-workers/s-1/away", None), (b"POST", b"/control/", None), (b"GET", b"/", None),
-    (b"POST", b"/other/in-service", None), (b"POST", b"/control/match-workers/offline", None),
-])
+@pytest.mark.parametrize(
+    ("method", "target", "expected"),
+    [
+        (b"GET", b"/control/ready", ("ready", "")),
+        (b"POST", b"/control/ready", None),
+        (b"POST", b"/control/out-of-service", ("out-of-service", "")),
+        (b"POST", b"/control/in-service?now", ("in-service", "")),
+        (b"GET", b"/control/in-service", None),
+        (b"POST", b"/control/match-workers/s-1/offline", ("offline", "s-1")),
+        (b"POST", b"/control/match-workers/a%2Fb/online", ("online", "a/b")),
+        (b"GET", b"/control/match-workers/s-1/online", None),
+        (b"POST", b"/control/match-workers//online", None),
+        (b"POST", b"/control/match-workers/s-1/away", None),
+        (b"POST", b"/control/", None),
+        (b"GET", b"/", None),
+        (b"POST", b"/other/in-service", None),
+        (b"POST", b"/control/match-workers/offline", None),
+    ],
+)
 def test_operators_calls(method: bytes, target: bytes, expected: tuple[str, str] | None) -> None:
     """Each by its method and path; anything else is none."""
     if expected is None:
@@ -185,9 +275,11 @@
     http = h11.Connection(h11.SERVER)
     http.receive_data(
         b"POST /a?b=1 HTTP/1.1\r\nHost: a\r\nX-Time-Left-Ms: 900\r\nX-Correlation-Id: c1\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    )
     request = http.next_event()
     assert isinstance(request, h11.Request)
     assert messages.request_again(request, b"abc", 250_900_000) == (
         b"POST /a?b=1 HTTP/1.1\r\nhost: a\r\nx-correlation-id: c1\r\nx-time-left-ms: 250\r\n"
-        b"content-length: 3\r\n\r\nabc")
+        b"content-length: 3\r\n\r\nabc"
+    )
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -16,6 +16,7 @@
 
 def test_callers_that_complete_nothing_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
     """They make room for others, and have a limited time from connecting."""
+
     async def scenario() -> None:
         async with site() as here:
             idle = []
@@ -30,12 +31,14 @@
             assert await here.operate("in-service/x") == 404
             address = f"127.0.0.1:{here.program.operators.port}"
             assert (await request(address, b"nonsense\r\n\r\n")).start.split()[1] == "400"
+
     monkeypatch.setattr(operators, "CALL_S", 0.2)
     asyncio.run(scenario())
 
 
 def test_an_operators_drain_empties_the_dispatcher_and_ends(monkeypatch: pytest.MonkeyPatch) -> None:
     """Health says no, resting clients and late calls go, a call in hand is served, call-backs go on."""
+
     async def scenario() -> None:
         async with site() as here:
             worker, port = here.workers[0], here.program.acceptor.port
@@ -62,6 +65,7 @@
             assert await here.operate("out-of-service") == await here.operate("in-service") == 503
             assert await here.operate("ready", "GET") == 503
             await ending
+
     monkeypatch.setattr(program, "SEEN_S", 0.05)
     monkeypatch.setattr(program, "EMPTY_S", 0.1)
     monkeypatch.setattr(program, "STAY_S", 0.2)
@@ -70,6 +74,7 @@
 
 def test_a_worker_taken_out_gets_nothing_whatever_the_list_says() -> None:
     """Any number of calls out end with one call back; ids that nobody has are told no."""
+
     async def scenario() -> None:
         async with site(workers=2) as here:
             first, second = here.workers
@@ -89,11 +94,13 @@
             await here.operate("match-workers/w1/offline")
             assert (await here.post("back")).body == b"TEXT"
             assert await here.operate("match-workers/nobody/online") == 404
+
     asyncio.run(scenario())
 
 
 def test_a_job_whose_connection_comes_up_after_its_worker_was_taken_out_goes_elsewhere() -> None:
     """It was decided before the call; its first byte would have come after the yes."""
+
     async def scenario() -> None:
         async with site(workers=2, caps={"probes": False}) as here:
             workers, gate = here.program.workers, asyncio.Event()
@@ -103,6 +110,7 @@
                 if worker.member.id == "w0":
                     await gate.wait()
                 return await connect(worker)
+
             workers._connect = slow  # type: ignore[method-assign]
             answers = [asyncio.create_task(here.post(f"c{number}", "/import")) for number in range(8)]
             await until(lambda: any(name == "w0" for _, name in here.program.exchange.at_worker))
@@ -110,6 +118,7 @@
             gate.set()
             assert {(await answer).start.split()[1] for answer in answers} == {"200"}
             assert here.workers[0].methods() == []
+
     asyncio.run(scenario())
 
 
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -16,9 +16,14 @@
 def sent(call: str, target: str) -> bytes:
     """A call with every header that the page names."""
     return write_message(
-        f"POST {target} HTTP/1.1", b'{"route": [1, 2, 3]}', f"X-Correlation-Id: {call}",
-        "X-Time-Left-Ms: 5000", f"Idempotency-Key: {KEY}", "X-Account: kelowna",
-        "Cookie: obj=7f3a9c21e0b4d655")
+        f"POST {target} HTTP/1.1",
+        b'{"route": [1, 2, 3]}',
+        f"X-Correlation-Id: {call}",
+        "X-Time-Left-Ms: 5000",
+        f"Idempotency-Key: {KEY}",
+        "X-Account: kelowna",
+        "Cookie: obj=7f3a9c21e0b4d655",
+    )
 
 
 def jobs(seen: list[Message]) -> list[Message]:
@@ -29,6 +34,7 @@
 @pytest.mark.parametrize("target", ["/lookup/a?b=1", "/lookup", "/lookup/x/y?z=%20&w="])
 def test_a_job_reaches_its_worker_as_its_client_sent_it(target: str) -> None:
     """Method, path, query, body, id and key arrive as the client sent them."""
+
     async def play() -> None:
         async with site() as here:
             answer = await request(here.address, sent("c1", target))
@@ -44,8 +50,10 @@
 
 def test_a_job_sent_again_elsewhere_keeps_its_key() -> None:
     """A job handed back unstarted goes to the next worker with the same key and body."""
+
     async def play() -> None:
         async with site(workers=2) as here:
+
             async def hand_back(message: Message, writer: asyncio.StreamWriter) -> None:
                 writer.write(UNSTARTED)
 
--- a/tests/test_phases.py
+++ b/tests/test_phases.py
@@ -67,6 +67,7 @@
 @pytest.mark.parametrize(("phase", "event", "follows"), table())
 def test_phases(phase: str, event: str, follows: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """The answer, and the phase that follows."""
+
     async def scenario() -> None:
         async with AsyncExitStack() as stack:
             here = await reach(phase, stack)
@@ -77,6 +78,7 @@
             else:
                 assert yes == (follows != "no")
                 assert here.phase.value == (phase if follows == "no" else follows)
+
     monkeypatch.setattr(program, "STAY_S", 0.1 if phase == "closing" else 1.0)
     monkeypatch.setenv("GW_CONFIG", "/nowhere")  # a reload is refused, and goes through its phase
     asyncio.run(scenario())
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -42,12 +42,14 @@
 
 @given(st.lists(JOBS, max_size=4), st.lists(JOBS, max_size=6), JOBS)
 def test_no_slot_or_memory_is_planned_twice(
-    running: list[Any], waiting: list[Any], job: tuple[float, float, float],
+    running: list[Any],
+    waiting: list[Any],
+    job: tuple[float, float, float],
 ) -> None:
     """At each planned start what runs fits into the worker, and starts keep the order of the queue."""
     told = table(running, waiting)
     jobs = played(told, [Waiting(*job)])
-    starts = [each[0] for each in jobs[len(told.running):]]
+    starts = [each[0] for each in jobs[len(told.running) :]]
     assert starts == sorted(starts)
     for at, *_ in jobs:
         now = [(slots, memory) for start, end, slots, memory in jobs if start <= at < end]
@@ -75,8 +77,10 @@
     assert told.start(4.0).at_ns == pytest.approx(2 * SECOND)
 
 
-@pytest.mark.parametrize(("run", "age", "left"), [
-    (1000.0, 0.0, 1000.0), (1000.0, 400.0, 600.0), (1000.0, 990.0, 50.0), (1000.0, 4000.0, 2000.0)])
+@pytest.mark.parametrize(
+    ("run", "age", "left"),
+    [(1000.0, 0.0, 1000.0), (1000.0, 400.0, 600.0), (1000.0, 990.0, 50.0), (1000.0, 4000.0, 2000.0)],
+)
 def test_a_job_that_outlives_its_hint_goes_on(run: float, age: float, left: float) -> None:
     """A hint four times too short: what is left grows with its age, and is never nothing."""
     assert left_ns(run, age) == left
@@ -136,9 +140,14 @@
     assert seek(made, want(), offer(2, 600.0)) is None and made.by_job[1].worker == 2
 
 
-@pytest.mark.parametrize(("job", "waiting", "why"), [
-    (want(hinted=False), 1, "no_hint"), (want(), 1000, "overload"),
-    (want(end_ns=0.5 * SECOND), 1, "too_late")])
+@pytest.mark.parametrize(
+    ("job", "waiting", "why"),
+    [
+        (want(hinted=False), 1, "no_hint"),
+        (want(), 1000, "overload"),
+        (want(end_ns=0.5 * SECOND), 1, "too_late"),
+    ],
+)
 def test_a_hold_ends_where_it_is_of_no_use(job: Want, waiting: int, why: str) -> None:
     """Without a hint, in overload, or past the time: what was held is given up, and nothing new is held."""
     made = planner()
@@ -209,10 +218,18 @@
 
 
 @given(
-    st.lists(JOBS, max_size=4), st.lists(JOBS, max_size=3), st.sampled_from([2.0, 4.0]), TIMES,
-    st.sampled_from([1.0, 2.0]))
+    st.lists(JOBS, max_size=4),
+    st.lists(JOBS, max_size=3),
+    st.sampled_from([2.0, 4.0]),
+    TIMES,
+    st.sampled_from([1.0, 2.0]),
+)
 def test_a_backfilled_job_that_keeps_its_time_moves_no_hold(
-    running: list[Any], waiting: list[Any], slots: float, run: float, small: float,
+    running: list[Any],
+    waiting: list[Any],
+    slots: float,
+    run: float,
+    small: float,
 ) -> None:
     """Whatever is let in beside a hold, the hold's job starts no later for it."""
     told, made = table(running, waiting), planner(hint_margin=1.0, worth_margin=0.0)
@@ -225,9 +242,17 @@
         assert told.start(slots, 1.0, [Waiting(run, small, 0.1)]).at_ns <= before + 1e-3
 
 
-@given(st.lists(st.tuples(
-    st.integers(1, 5), st.sampled_from([1.0, 2.0, 8.0]), st.integers(1, 4), st.lists(TIMES, max_size=4)),
-    max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 5),
+            st.sampled_from([1.0, 2.0, 8.0]),
+            st.integers(1, 4),
+            st.lists(TIMES, max_size=4),
+        ),
+        max_size=40,
+    )
+)
 def test_every_hold_ends_and_the_same_input_gives_the_same_plan(moves: list[Any]) -> None:
     """One hold a job, one job a hold, none past its own end; a second run makes the same choices."""
     runs = []
@@ -248,15 +273,24 @@
 # --- the operators' file ---
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    (b"{", "not valid JSON"), (b"[]", "holds no JSON object"), (b"\xff\xfe", "not valid JSON"),
-    (b'{"slipp": 1}', "slipp is no key"), (b'{"on": 1}', "on is 1: write true or false"),
-    (b'{"least_slots": 1}', "least_slots is 1: write a number of slots from 2"),
-    (b'{"most_held": 0.9}', "most_held is 0.9: write a part of the workers above 0, at most 0.5"),
-    (b'{"most_holds": 2.5}', "most_holds is 2.5: write a whole number"),
-    (b'{"hint_margin": "2"}', 'hint_margin is "2": write a factor'),
-    (b'{"slip": NaN}', "not valid JSON"), (b'{"queue_part": null}', "queue_part is null"),
-    (b" " * 70000, "larger than"), (b"[" * 5000, "not valid JSON")])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (b"{", "not valid JSON"),
+        (b"[]", "holds no JSON object"),
+        (b"\xff\xfe", "not valid JSON"),
+        (b'{"slipp": 1}', "slipp is no key"),
+        (b'{"on": 1}', "on is 1: write true or false"),
+        (b'{"least_slots": 1}', "least_slots is 1: write a number of slots from 2"),
+        (b'{"most_held": 0.9}', "most_held is 0.9: write a part of the workers above 0, at most 0.5"),
+        (b'{"most_holds": 2.5}', "most_holds is 2.5: write a whole number"),
+        (b'{"hint_margin": "2"}', 'hint_margin is "2": write a factor'),
+        (b'{"slip": NaN}', "not valid JSON"),
+        (b'{"queue_part": null}', "queue_part is null"),
+        (b" " * 70000, "larger than"),
+        (b"[" * 5000, "not valid JSON"),
+    ],
+)
 def test_a_bad_file_is_told_in_one_line(tmp_path: Path, text: bytes, told: str) -> None:
     """The line names the key, its value and what would be right."""
     path = tmp_path / "room.json"
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -31,6 +31,7 @@
 @pytest.mark.parametrize("manner", [mute, busy, reset, None])
 def test_a_process_is_ready_soon(mode: str, manner: Manner | None) -> None:
     """With discovery silent, behind, resetting or slow: from its start to /_health and its operators' yes."""
+
     async def scenario() -> None:
         begun = time.monotonic()
         discovery = Slow() if manner is None else Failing(manner, 99)
@@ -40,6 +41,7 @@
             while await here.operate("ready", "GET") != 200:
                 await asyncio.sleep(0.05)
             assert time.monotonic() - begun < READY_S
+
     asyncio.run(scenario())
 
 
@@ -52,6 +54,7 @@
 
 def test_a_restart_with_an_old_list_hears_of_a_drain_in_time() -> None:
     """One of a few dispatchers: its first ask comes at once, and the list that it had is replaced."""
+
     async def scenario() -> None:
         failing = Failing(mute, 0)
         async with site(discovery=failing, group_size=3) as here:
@@ -59,4 +62,5 @@
             begun = time.monotonic()
             await until(lambda: here.program.registry.revision == 9)
             assert time.monotonic() - begun < 2 and (await here.post(left_ms=300)).status == 503
+
     asyncio.run(scenario())
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -28,12 +28,15 @@
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-@pytest.mark.parametrize(("silent_s", "most_s"), [
-    (2.0, 1.6), (2.6, 1.0), (5.0, 0.2), (5.9, 0.2), (6.0, 3.6), (6.25, 3.6)])
+@pytest.mark.parametrize(
+    ("silent_s", "most_s"), [(2.0, 1.6), (2.6, 1.0), (5.0, 0.2), (5.9, 0.2), (6.0, 3.6), (6.25, 3.6)]
+)
 def test_the_spread_after_a_silence_is_what_the_clock_leaves(silent_s: float, most_s: float) -> None:
     """The whole of that is used, and no more: past the clock a new one begins."""
-    waits = [Backoff(random.Random(seed), FLEET).wait_ns(
-        100 * SECOND, 10 * SECOND, int(silent_s * SECOND), ENDED) for seed in range(500)]
+    waits = [
+        Backoff(random.Random(seed), FLEET).wait_ns(100 * SECOND, 10 * SECOND, int(silent_s * SECOND), ENDED)
+        for seed in range(500)
+    ]
     assert 0.9 * most_s <= max(waits) / SECOND <= most_s
 
 
@@ -79,8 +82,7 @@
         one.step(10 * SECOND, [api.TimerDue(3)])
         one.step(11 * SECOND, [api.Membership(api.ListKind.DELTA)])
         at_ns = begun_ns + int((0.6 + 2 * draw.random()) * SECOND)
-        queue.append((at_ns, me, me, api.Membership(
-            api.ListKind.FAILED, silent_ns=2600 * MS, failure=ENDED)))
+        queue.append((at_ns, me, me, api.Membership(api.ListKind.FAILED, silent_ns=2600 * MS, failure=ENDED)))
     heapq.heapify(queue)
     heard, number = dict[int, int](), FLEET
     while queue:
@@ -109,7 +111,7 @@
     text = json.dumps(LIST, indent=indent).encode() + b"\n\n" + b'{"revision":8}\r\n'
     values, told = Values(), list[bytes]()
     for at in range(0, len(text), size):
-        told += values.feed(text[at:at + size])
+        told += values.feed(text[at : at + size])
     assert [json.loads(value) if value else None for value in told] == [LIST, None, {"revision": 8}]
 
 
@@ -140,8 +142,16 @@
 
 def listed(revision: int, phase: str, address: str) -> bytes:
     """A list of one worker, w0."""
-    row = {"id": "w0", "host_port": address, "locality": "here", "flavor": "toy", "cell": 0, "phase": phase,
-           "size": 1.0, "up_since_ms": 0}
+    row = {
+        "id": "w0",
+        "host_port": address,
+        "locality": "here",
+        "flavor": "toy",
+        "cell": 0,
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": 0,
+    }
     return json.dumps({"revision": revision, "complete": True, "members": [row]}, indent=1).encode()
 
 
@@ -159,14 +169,17 @@
     async def scenario() -> None:
         muted = Muted()
         async with site(discovery=muted, group_size=FLEET) as here:
-            muted.lists += [listed(7, "SERVING", here.workers[0].address),
-                            listed(8, "DRAINING", here.workers[0].address)]
+            muted.lists += [
+                listed(7, "SERVING", here.workers[0].address),
+                listed(8, "DRAINING", here.workers[0].address),
+            ]
             here.program.registry.watch()
             await until(lambda: here.program.registry.revision == 8)
             (first, first_s), (second, second_s) = muted.asked[-2:]
             assert (first[-1], second[-1]) == ("1", "7") and second_s - first_s < 2  # 0.5 s unless it stalls
             assert here.program.counters.counts["lists_silent"] == 1
             assert (await here.post(left_ms=300)).status == 503
+
     asyncio.run(scenario())
 
 
@@ -184,11 +197,13 @@
             times = [at_s for _, at_s in muted.asked[-5:]]
             assert max(after - before for before, after in pairwise(times)) < 2  # 0.5 s unless it stalls
             assert here.program.counters.counts["lists_silent"] == 4
+
     asyncio.run(scenario())
 
 
 def test_an_agents_list_is_taken_in_before_anyone_is_served() -> None:
     """What an agent has counts as told from a process's first moment, though its known list is old."""
+
     async def scenario() -> None:
         muted = Muted()
         muted.lists, muted.pause_s = [listed(9, "DRAINING", "127.0.0.1:1")], 0.1
@@ -196,6 +211,7 @@
             assert here.program.registry.revision == 9
             assert (await here.post(left_ms=300)).status == 503
             assert here.workers[0].methods() == []
+
     asyncio.run(scenario())
 
 
@@ -213,4 +229,5 @@
             assert len(muted.asked) - asked <= 2
             times = [at_s for _, at_s in muted.asked]
             assert max(after - before for before, after in pairwise(times)) < 2  # 0.3 s, unless this stalls
+
     asyncio.run(scenario())
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -25,16 +25,23 @@
 
 
 def play(
-    load: float = 0.8, dispatchers: int = 1, room: Figures | None = None,
-    kinds: Sequence[loads.Kind] = loads.KINDS, hints: loads.Hints | None = None,
-    troubles: Sequence[Trouble] = (), seed: int = 3, **spec: Any,
+    load: float = 0.8,
+    dispatchers: int = 1,
+    room: Figures | None = None,
+    kinds: Sequence[loads.Kind] = loads.KINDS,
+    hints: loads.Hints | None = None,
+    troubles: Sequence[Trouble] = (),
+    seed: int = 3,
+    **spec: Any,
 ) -> tuple[Run, Result]:
     """A quarter of a minute of load; each job has one answer, none runs against its class, each hold ends."""
     specs = [model.Spec(f"s{n}", speed=speed, kind=kind, **spec) for n, (kind, speed) in enumerate(FLEET)]
     capacity = sum(each.speed * each.cores for each in specs)
     arrivals = loads.draw(seed, MILD, capacity, load, dispatchers, kinds, hints)
-    told = [decode_settings(Pairs.from_nested(loads.settings(dispatchers, kinds, me)))[0]
-            for me in range(dispatchers)]
+    told = [
+        decode_settings(Pairs.from_nested(loads.settings(dispatchers, kinds, me)))[0]
+        for me in range(dispatchers)
+    ]
     run = Run(arrivals, specs, [replace(each, room=room) for each in told], seed, kinds, 1, troubles)
     result = run.go()
     for record in result.records:
@@ -47,13 +54,19 @@
 
 def in_time(result: Result, slots: int, kinds: Sequence[loads.Kind] = loads.KINDS) -> float:
     """The part of the worth of jobs of this width that came in time."""
-    return next(row.parts[loads.Fate.IN_TIME] for row in loads.summary(result.records, kinds)
-                if row.name == "any" and row.slots == slots)
+    return next(
+        row.parts[loads.Fate.IN_TIME]
+        for row in loads.summary(result.records, kinds)
+        if row.name == "any" and row.slots == slots
+    )
 
 
 @pytest.mark.parametrize("dispatchers", [1, 3, 8])
-@pytest.mark.parametrize("hints", [
-    loads.Hints(), loads.Hints(wrong=1.0), loads.Hints(missing=0.5)], ids=["good", "wrong", "missing"])
+@pytest.mark.parametrize(
+    "hints",
+    [loads.Hints(), loads.Hints(wrong=1.0), loads.Hints(missing=0.5)],
+    ids=["good", "wrong", "missing"],
+)
 def test_every_job_has_one_answer_whatever_the_hints_say(dispatchers: int, hints: loads.Hints) -> None:
     """Several dispatchers hold at the same workers, with hints four times too long or short, or none."""
     _, result = play(1.1, dispatchers, Figures(), hints=hints)
@@ -85,8 +98,10 @@
 
 def test_large_jobs_alone_do_not_starve_each_other() -> None:
     """Each holds at one worker at most, and none waits for another that waits for it."""
-    totals = [sum(served(play(0.8, 2, room, LARGE, seed=seed)[1], 4)[0] for seed in range(6))
-              for room in (None, Figures())]
+    totals = [
+        sum(served(play(0.8, 2, room, LARGE, seed=seed)[1], 4)[0] for seed in range(6))
+        for room in (None, Figures())
+    ]
     assert totals[1] > 0.95 * totals[0]
 
 
@@ -140,9 +155,17 @@
 def crowded(old: bool = False, room: Figures | None = None) -> tuple[Drive, list[api.Send]]:
     """Two workers of four slots, each with two own jobs of 0.8 s that have started."""
     rules = job_class(effect=api.Effect.UNSAFE, worth=8.0, stretch=2.0)
-    drive = Drive(settings(
-        classes=(rules, job_class()), tells_start=True, may_probe=False, progress_ns=0,
-        room=room or Figures(), worth_by_work=True), workers=2)
+    drive = Drive(
+        settings(
+            classes=(rules, job_class()),
+            tells_start=True,
+            may_probe=False,
+            progress_ns=0,
+            room=room or Figures(),
+            worth_by_work=True,
+        ),
+        workers=2,
+    )
     if old:
         drive.dispatcher.running.slowness[1] = (1.0, 1000)
         entries = [api.WorkerEntry(w, api.WorkerState.READY, kind=2 - w) for w in (1, 2)]
@@ -213,11 +236,15 @@
     assert drive.now - born <= 3 * SECOND and not drive.dispatcher.planner.by_job
 
 
-@pytest.mark.parametrize("event", [
-    lambda worker: api.Banned(worker),
-    lambda worker: api.Membership(api.ListKind.DELTA, (api.WorkerEntry(worker, DRAINING),)),
-    lambda worker: api.Membership(api.ListKind.DELTA, (api.WorkerEntry(worker, api.WorkerState.GONE),)),
-], ids=["ban", "drain", "gone"])
+@pytest.mark.parametrize(
+    "event",
+    [
+        lambda worker: api.Banned(worker),
+        lambda worker: api.Membership(api.ListKind.DELTA, (api.WorkerEntry(worker, DRAINING),)),
+        lambda worker: api.Membership(api.ListKind.DELTA, (api.WorkerEntry(worker, api.WorkerState.GONE),)),
+    ],
+    ids=["ban", "drain", "gone"],
+)
 def test_the_worker_goes_out_in_the_hold(event: Callable[[int], api.Event]) -> None:
     """At once, not after the grace: the hold ends, and nothing new goes there."""
     drive, started = crowded()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -42,8 +42,14 @@
 
 def fullest(sent: list[tuple[int, int]], capacity: float = CAPACITY, mean_ns: float = MEAN_NS) -> float:
     """The work of the fullest window, as a part of what makes the worker fall."""
-    return max((sum(work for at_ns, work in sent if begin_ns <= at_ns < begin_ns + RULE.window_ns)
-                / RULE.falls_ns(begin_ns, capacity, mean_ns) for begin_ns, _ in sent), default=0.0)
+    return max(
+        (
+            sum(work for at_ns, work in sent if begin_ns <= at_ns < begin_ns + RULE.window_ns)
+            / RULE.falls_ns(begin_ns, capacity, mean_ns)
+            for begin_ns, _ in sent
+        ),
+        default=0.0,
+    )
 
 
 @settings(deadline=None, max_examples=60)
@@ -54,8 +60,14 @@
     """However unevenly traffic and news are spread, and however much more is wanted than may be sent."""
     draw = random.Random(seed)
     weights = [draw.random() ** skew + 1e-6 for _ in range(dispatchers)]
-    jobs = [(draw.randrange(RULE.warm_after_ns), draw.choices(range(dispatchers), weights)[0],
-             1 + int(draw.expovariate(1 / (mean_s * SECOND)))) for _ in range(400)]
+    jobs = [
+        (
+            draw.randrange(RULE.warm_after_ns),
+            draw.choices(range(dispatchers), weights)[0],
+            1 + int(draw.expovariate(1 / (mean_s * SECOND))),
+        )
+        for _ in range(400)
+    ]
     assert fullest(play(dispatchers, jobs, [draw.randrange(3 * SECOND) for _ in weights], seed)) < 1
 
 
@@ -125,8 +137,18 @@
             if at_ns < began[me]:
                 continue
             work_ns = 1 + int(draw.lognormvariate(-0.4, 0.9) * mean_s * SECOND)
-            cold = Cold(number, at_ns, capacity, me, fleet, max(0, began[me]), 1.0, mean_s * SECOND,
-                        rate * weights[me] / sum(weights), 1)
+            cold = Cold(
+                number,
+                at_ns,
+                capacity,
+                me,
+                fleet,
+                max(0, began[me]),
+                1.0,
+                mean_s * SECOND,
+                rate * weights[me] / sum(weights),
+                1,
+            )
             if room(RULE, cold, own[me]) >= work_ns:
                 own[me].append((at_ns, float(work_ns)))
                 sent.append((at_ns, work_ns))
@@ -175,15 +197,23 @@
 
 def test_a_turn_holds_a_large_job() -> None:
     """Half of all work comes in jobs of over 0.8 s; small turns leave them to the few warm workers."""
-    rooms = [room(RULE, Cold(7, 4 * SECOND, CAPACITY, me, 40, mean_ns=MEAN_NS, calls=MANY), deque())
-             for me in range(40)]
+    rooms = [
+        room(RULE, Cold(7, 4 * SECOND, CAPACITY, me, 40, mean_ns=MEAN_NS, calls=MANY), deque())
+        for me in range(40)
+    ]
     assert sum(each > 0 for each in rooms) >= 1 and max(rooms) > 2 * SECOND
 
 
 def test_a_dispatcher_with_few_calls_has_more_turns() -> None:
     """Of turns that lapse more are dealt; one with many calls has only those that are paid for."""
-    held = [sum(room(RULE, Cold(7, age * SECOND, CAPACITY, me, 40, mean_ns=MEAN_NS, calls=calls), deque()) > 0
-                for me in range(40) for age in range(8)) for calls in (0.0, 8.0, MANY)]
+    held = [
+        sum(
+            room(RULE, Cold(7, age * SECOND, CAPACITY, me, 40, mean_ns=MEAN_NS, calls=calls), deque()) > 0
+            for me in range(40)
+            for age in range(8)
+        )
+        for calls in (0.0, 8.0, MANY)
+    ]
     assert held[0] > 2 * held[2] and held[0] > held[1] >= held[2] >= 8
 
 
@@ -234,22 +264,33 @@
     """Twenty workers of forty start at one moment: each gets work while it is cold, and never too much."""
     specs = [model.Spec(f"s{n}") for n in range(40)]
     kinds = loads.KINDS
-    told = [replace(decode_settings(Pairs.from_nested(loads.settings(40, kinds, me)))[0],
-                    cold_share=RULE.cold_share, warm_after_ns=RULE.warm_after_ns,
-                    fall_multiple=RULE.multiple, overload_for_ns=RULE.window_ns) for me in range(40)]
+    told = [
+        replace(
+            decode_settings(Pairs.from_nested(loads.settings(40, kinds, me)))[0],
+            cold_share=RULE.cold_share,
+            warm_after_ns=RULE.warm_after_ns,
+            fall_multiple=RULE.multiple,
+            overload_for_ns=RULE.window_ns,
+        )
+        for me in range(40)
+    ]
     arrivals = loads.draw(3, 12 * SECOND, sum(spec.speed * spec.cores for spec in specs), 0.4, 40, kinds)
     back = [Trouble(2 * SECOND, partial(Run.restart, worker=worker)) for worker in range(1, 21)]
     run = Watched(arrivals, specs, told, 3, kinds, 1, back)
     run.go()
     begun_ns, used = run.begun_ns + 2 * SECOND, 0.0
     for worker in range(1, 21):
-        sent = [(at_ns - begun_ns, work) for at_ns, number, work in run.work
-                if number == worker and begun_ns <= at_ns < begun_ns + RULE.warm_after_ns]
+        sent = [
+            (at_ns - begun_ns, work)
+            for at_ns, number, work in run.work
+            if number == worker and begun_ns <= at_ns < begun_ns + RULE.warm_after_ns
+        ]
         assert sent, worker
         used += sum(work for _, work in sent)
         assert fullest([(at_ns, int(work)) for at_ns, work in sent], specs[0].cores, 700 * MS) < 0.75
-    could = 20 * sum(RULE.share(age) * specs[0].cores * 100 * MS
-                     for age in range(0, RULE.warm_after_ns, 100 * MS))
+    could = 20 * sum(
+        RULE.share(age) * specs[0].cores * 100 * MS for age in range(0, RULE.warm_after_ns, 100 * MS)
+    )
     assert used > 0.2 * could, used / could
 
 
@@ -260,6 +301,11 @@
     for _ in range(200):
         running.learn(0, 2, SECOND)
     assert running.doubt(2) < 1.05
-    whole, part = (sum(room(RULE, Cold(7, 4 * SECOND, CAPACITY, me, 40, 0, doubt, MEAN_NS, MANY), deque())
-                       for me in range(40)) for doubt in (1.0, 1.6))
+    whole, part = (
+        sum(
+            room(RULE, Cold(7, 4 * SECOND, CAPACITY, me, 40, 0, doubt, MEAN_NS, MANY), deque())
+            for me in range(40)
+        )
+        for doubt in (1.0, 1.6)
+    )
     assert part < 0.8 * whole
--- a/tests/test_two_settings.py
+++ b/tests/test_two_settings.py
@@ -16,15 +16,26 @@
 FIRST: dict[str, Any] = {
     "services": [
         {"name": "lookup", "aim_ns": 1_000_000_000, "give_up_ns": 5_000_000_000, "effect": "retryable"},
-        {"name": "import", "aim_ns": 900_000_000_000, "give_up_ns": 990_000_000_000, "effect": "fragile"}],
+        {"name": "import", "aim_ns": 900_000_000_000, "give_up_ns": 990_000_000_000, "effect": "fragile"},
+    ],
 }
 SECOND: dict[str, Any] = {
     "services": [
-        {"name": "import", "aim_ns": 200_000_000, "give_up_ns": 700_000_000, "effect": "dedup",
-         "group": "all", "window_ns": 300_000_000, "worth": 9.0},
+        {
+            "name": "import",
+            "aim_ns": 200_000_000,
+            "give_up_ns": 700_000_000,
+            "effect": "dedup",
+            "group": "all",
+            "window_ns": 300_000_000,
+            "worth": 9.0,
+        },
         {"name": "scan", "aim_ns": 300_000_000, "give_up_ns": 800_000_000, "effect": "fragile", "worth": 2.0},
-        {"name": "print", "aim_ns": 400_000_000, "give_up_ns": 900_000_000, "effect": "retryable"}],
-    "group_size": 20, "me": 7, "caps": {"max_attempts": 2, "max_open": 7, "max_retry_after_ns": 123_000_000},
+        {"name": "print", "aim_ns": 400_000_000, "give_up_ns": 900_000_000, "effect": "retryable"},
+    ],
+    "group_size": 20,
+    "me": 7,
+    "caps": {"max_attempts": 2, "max_open": 7, "max_retry_after_ns": 123_000_000},
     "safety": {"fall_multiple": 4.5, "overload_for_ns": 777_000_000, "cold_share": 0.11},
 }
 
@@ -58,8 +69,15 @@
         assert by_name[name] == rules and rules.offered
     assert moved.offered == {"import", "scan", "print"} and not by_name["lookup"].offered and not others
     assert moved.max_open == 7
-    for key in ("dispatchers", "me", "max_attempts", "fall_multiple", "overload_for_ns", "cold_share",
-                "max_retry_after_ns"):
+    for key in (
+        "dispatchers",
+        "me",
+        "max_attempts",
+        "fall_multiple",
+        "overload_for_ns",
+        "cold_share",
+        "max_retry_after_ns",
+    ):
         assert getattr(moved.settings, key) == getattr(fresh.settings, key)
 
 
@@ -79,13 +97,17 @@
             program.reload_wanted.set()
             await until(lambda: program.counters.counts["reloads"])
             await until(lambda: policy.settings.dispatchers == 20)
-            offered = [aim for aim, rules in zip(
-                policy.running.mean_ns, policy.settings.classes, strict=True) if rules.offered]
+            offered = [
+                aim
+                for aim, rules in zip(policy.running.mean_ns, policy.settings.classes, strict=True)
+                if rules.offered
+            ]
             assert len(offered) == 3 and policy.running.mean() == sum(offered) / 3
             assert policy.backoff.dispatchers == 20 and policy.rule.multiple == 4.5
             assert program.registry.config is program.config
             assert (await here.post("c1", "/lookup")).status == 404
             assert (await here.post("c2", "/print")).body == b"TEXT"
+
     asyncio.run(scenario())
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,13 +13,24 @@
 from weldquay import interface as api
 from weldquay.settings import Pairs, decode_settings
 
-SETTINGS = "\n".join([
-    "services.count=1", "services.0.aim_ns=400", "services.0.give_up_ns=60000", "services.0.effect=dedup",
-    "services.0.group=cell", "services.0.window_ns=77", "safety.cold_share=0.14",
-    "safety.warm_after_ns=23000000000", "safety.fall_multiple=3.0", "safety.overload_for_ns=1500000000",
-    "load_info.fields=x0,busy_reqs", "load_info.via=on_probe",
-    "family_info.class_stretch=2.5", "unknown.key=1",
-])
+SETTINGS = "\n".join(
+    [
+        "services.count=1",
+        "services.0.aim_ns=400",
+        "services.0.give_up_ns=60000",
+        "services.0.effect=dedup",
+        "services.0.group=cell",
+        "services.0.window_ns=77",
+        "safety.cold_share=0.14",
+        "safety.warm_after_ns=23000000000",
+        "safety.fall_multiple=3.0",
+        "safety.overload_for_ns=1500000000",
+        "load_info.fields=x0,busy_reqs",
+        "load_info.via=on_probe",
+        "family_info.class_stretch=2.5",
+        "unknown.key=1",
+    ]
+)
 
 
 def decode(text: str) -> tuple[api.Settings, tuple[str, ...]]:
@@ -36,15 +47,19 @@
 
 def test_events_of_the_page() -> None:
     """REQUEST, DEADLINE_HIT, GONE, MEMBERSHIP and REPORT_BACK."""
-    request = one("070103000000 0101c4913a5d0000000000640ad2557c3bf091001c4e0e00000000001bb70000000000"
-                  "000000400000000001 00")
+    request = one(
+        "070103000000 0101c4913a5d0000000000640ad2557c3bf091001c4e0e00000000001bb70000000000"
+        "000000400000000001 00"
+    )
     assert isinstance(request, api.Request)
     assert (request.request, request.slots, request.hint_ns) == (0x5D3A91C4, 2.0, 12_000_000)
     assert request.time_left_ns == 240_000_000
     assert one("070103000000 03014d000000") == api.TimerDue(77)
     assert one("070105000000 0501192b6f0e") == api.ClientGone(0x0E6F2B19)
-    members = one("070103000000 0901290000000202000000 0000000001074a1203000000000000000000000000803f"
-                  "0000000001f211902c0000009d966b010000000000c03f")
+    members = one(
+        "070103000000 0901290000000202000000 0000000001074a1203000000000000000000000000803f"
+        "0000000001f211902c0000009d966b010000000000c03f"
+    )
     assert isinstance(members, api.Membership) and members.kind is api.ListKind.CACHED
     assert [entry.weight for entry in members.entries] == [1.0, 1.5]
     ended = one("070103000000 0001c4913a5d0000074a12030aa0491a0100000000010000")
@@ -54,12 +69,18 @@
 
 def test_actions_of_the_page() -> None:
     """The reply of the page, byte by byte (its FAULT-free records)."""
-    body = wire.encode_actions(3, [
-        api.Send(0x5D3A91C4, 0x03124A07, 80_000_000), api.SetTimer(500_000_000, 77)])
+    body = wire.encode_actions(
+        3, [api.Send(0x5D3A91C4, 0x03124A07, 80_000_000), api.SetTimer(500_000_000, 77)]
+    )
     body += wire.encode_actions(5, [api.Log("two servers known")])
     assert wire.frame_reply(body).hex() == (
-        "41000000" "4c0103000000" "4001c4913a5d00b4c40400000000074a1203" "44010065cd1d000000004d000000"
-        "4c0105000000" "4801110074776f2073657276657273206b6e6f776e")
+        "41000000"
+        "4c0103000000"
+        "4001c4913a5d00b4c40400000000074a1203"
+        "44010065cd1d000000004d000000"
+        "4c0105000000"
+        "4801110074776f2073657276657273206b6e6f776e"
+    )
 
 
 @pytest.mark.parametrize("values", [[], [1.0], [-1.0, 2.0], [float("nan"), 1.0], [float("inf"), 1.0]])
@@ -84,27 +105,51 @@
 
 def test_nested_settings_flatten_to_the_same_paths() -> None:
     """Both programs must read the same figures: lists, flags and words with spaces included."""
-    nested = {"services": [{"name": "a b", "stream": False}, {"name": "c"}], "caps": {"cancel": True,
-              "x": 2.5},
-              "load_info": {"fields": ["x0", "x1"]}, "family_info": {"report_x0": "free slots"}, "none": None,
-              "zones": []}
-    assert Pairs.from_nested(nested).values == Pairs.from_text("\n".join([
-        "services.count=2", "services.0.name=a_b", "services.0.stream=false", "services.1.name=c",
-        "caps.cancel=true", "caps.x=2.5", "load_info.fields=x0,x1", "family_info.report_x0=free_slots",
-        "zones="])).values
+    nested = {
+        "services": [{"name": "a b", "stream": False}, {"name": "c"}],
+        "caps": {"cancel": True, "x": 2.5},
+        "load_info": {"fields": ["x0", "x1"]},
+        "family_info": {"report_x0": "free slots"},
+        "none": None,
+        "zones": [],
+    }
+    assert (
+        Pairs.from_nested(nested).values
+        == Pairs.from_text(
+            "\n".join(
+                [
+                    "services.count=2",
+                    "services.0.name=a_b",
+                    "services.0.stream=false",
+                    "services.1.name=c",
+                    "caps.cancel=true",
+                    "caps.x=2.5",
+                    "load_info.fields=x0,x1",
+                    "family_info.report_x0=free_slots",
+                    "zones=",
+                ]
+            )
+        ).values
+    )
 
 
 def power_on(instance: int, seed: int = 9, text: str = SETTINGS) -> bytes:
     """FOR, POWER_ON and a cached list of two workers."""
     rows = b"".join(struct.pack("<HHBIHQf", 0, 0, 1, worker, 0, 0, 1.0) for worker in (11, 12))
-    return (struct.pack("<HI", 263, instance) + struct.pack("<HQI", 267, seed, len(text)) + text.encode()
-            + struct.pack("<HIBI", 265, 1, 2, 2) + rows)
+    return (
+        struct.pack("<HI", 263, instance)
+        + struct.pack("<HQI", 267, seed, len(text))
+        + text.encode()
+        + struct.pack("<HIBI", 265, 1, 2, 2)
+        + rows
+    )
 
 
 def request(instance: int, number: int) -> bytes:
     """FOR and REQUEST."""
     return struct.pack("<HI", 263, instance) + struct.pack(
-        "<HIBIQQQffH", 257, number, 0, 0, 0, 60_000_000_000, 0, 1.0, 0.0, 0)
+        "<HIBIQQQffH", 257, number, 0, 0, 0, 60_000_000_000, 0, 1.0, 0.0, 0
+    )
 
 
 def frame(body: bytes, count: int, now: int = 1_000_000_000) -> bytes:
@@ -131,8 +176,9 @@
 
 def run(data: bytes) -> tuple[int, bytes, str]:
     """The adapter as a process."""
-    done = subprocess.run([sys.executable, "-m", "weldquay.adapter"],
-        input=data, capture_output=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "weldquay.adapter"], input=data, capture_output=True, check=False
+    )
     return done.returncode, done.stdout, done.stderr.decode()
 
 
@@ -141,10 +187,17 @@
     assert run(frame(b"", 0)) == (0, wire.frame_reply(b""), "")
 
 
-@pytest.mark.parametrize("data", [
-    frame(b"", 0)[:7], frame(power_on(1), 3)[:-4], frame(struct.pack("<HIH", 263, 1, 999), 2),
-    frame(power_on(1)[:-10], 3), frame(power_on(1), 2), frame(struct.pack("<H", 262), 1),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        frame(b"", 0)[:7],
+        frame(power_on(1), 3)[:-4],
+        frame(struct.pack("<HIH", 263, 1, 999), 2),
+        frame(power_on(1)[:-10], 3),
+        frame(power_on(1), 2),
+        frame(struct.pack("<H", 262), 1),
+    ],
+)
 def test_broken_frames_stop_the_adapter(data: bytes) -> None:
     """One plain line, status 2, nothing half written."""
     status, written, complaint = run(data)
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -23,12 +23,18 @@
 KNOWN = [kind.name for kind in SITE.kinds]
 NEVER_TWICE = {kind.name for kind in SITE.kinds if kind.never_twice}
 NAMES = st.text(st.characters(categories=["Ll", "Nd"]), min_size=1, max_size=20).map(lambda name: f"x{name}")
-OWN_KINDS = st.fixed_dictionaries({
-    "name": NAMES, "repeat_harmless": st.booleans(), "wanted_ms": st.floats(1, 100_000)})
+OWN_KINDS = st.fixed_dictionaries(
+    {"name": NAMES, "repeat_harmless": st.booleans(), "wanted_ms": st.floats(1, 100_000)}
+)
 SITE_KINDS = st.sampled_from(KNOWN).map(lambda name: {"name": name})
-DESCRIPTIONS = st.fixed_dictionaries({
-    "name": NAMES, "kinds": st.lists(OWN_KINDS, min_size=1, max_size=4, unique_by=lambda kind: kind["name"]),
-    "calls_per_s": st.floats(0.1, 500), "dispatchers": st.integers(1, 50)})
+DESCRIPTIONS = st.fixed_dictionaries(
+    {
+        "name": NAMES,
+        "kinds": st.lists(OWN_KINDS, min_size=1, max_size=4, unique_by=lambda kind: kind["name"]),
+        "calls_per_s": st.floats(0.1, 500),
+        "dispatchers": st.integers(1, 50),
+    }
+)
 
 
 @trials(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
@@ -61,7 +67,9 @@
 
 
 BAD: list[tuple[dict[str, Any], str]] = [
-    ({}, "name"), ({"name": "a"}, "kinds"), ({"name": "a", "kinds": []}, "kinds"),
+    ({}, "name"),
+    ({"name": "a"}, "kinds"),
+    ({"name": "a", "kinds": []}, "kinds"),
     ({"name": "a", "kinds": [{"name": "k"}]}, "say whether a repeat is harmless"),
     ({"name": "a", "kinds": [{"name": "k", "repeat_harmless": True}]}, "wanted_ms"),
     ({"name": "a", "kinds": [{"name": "segment-commit", "repeat_harmless": True}]}, "must never run twice"),
@@ -87,7 +95,16 @@
     """It never overwrites without --force, and what it writes passes the checker of the same site."""
     path = tmp_path / "made.json"
     arguments = [
-        "config", "new", str(path), "--name", "a", "--kind", "segment-commit", "--catalogue", "sapporo-tm"]
+        "config",
+        "new",
+        str(path),
+        "--name",
+        "a",
+        "--kind",
+        "segment-commit",
+        "--catalogue",
+        "sapporo-tm",
+    ]
     run = CliRunner().invoke
     assert run(cli.main, arguments).exit_code == 0
     before = path.read_bytes()
@@ -102,18 +119,25 @@
 DIFFERENCES: list[tuple[str, Any, str, int]] = [
     ("settings.caps.max_attempts", 4, "settings.caps.max_attempts: 3 to 4; at SIGHUP", 0),
     ("discovery", "127.0.0.1:9", 'discovery: "127.0.0.1:8500" to "127.0.0.1:9"; at SIGHUP', 0),
-    ("listen", "127.0.0.1:9", "needs a new start", 1), ("limits.sockets", 999, "needs a new start", 1),
-    ("seed", "7", "used at a start only", 1), ("origin", {}, "not read by the program", 0),
+    ("listen", "127.0.0.1:9", "needs a new start", 1),
+    ("limits.sockets", 999, "needs a new start", 1),
+    ("seed", "7", "used at a start only", 1),
+    ("origin", {}, "not read by the program", 0),
     ("settings.services.0.worth", 3.0, "services.k.worth: 1.0 to 3.0; at SIGHUP (open jobs", 0),
     ("settings.services.0.name", "other", "calls for it are answered 404", 0),
     ("settings.caps.max_attempts", 0, "would take nothing of it", 1),
     ("settings.zones", ["elsewhere"], "would take nothing of it", 1),
-    ("name", "a", "no difference", 0)]
+    ("name", "a", "no difference", 0),
+]
 
 
 @pytest.mark.parametrize(("path", "value", "text", "status"), DIFFERENCES)
 def test_a_difference_is_told_in_operators_words(
-    path: str, value: Any, text: str, status: int, tmp_path: Path,
+    path: str,
+    value: Any,
+    text: str,
+    status: int,
+    tmp_path: Path,
 ) -> None:
     """What a reload takes, what needs a start, what is refused whole: by the program's own check."""
     kinds = [{"name": "k", "repeat_harmless": True, "wanted_ms": 1000}]
@@ -132,18 +156,33 @@
 
 def test_what_is_written_serves_on_loopback() -> None:
     """The written settings unchanged, with stand-in workers: each job one answer."""
-    made = writer.compose(writer.describe({
-        "name": "a", "kinds": [{"name": "lookup", "repeat_harmless": True, "wanted_ms": 1000},
-                               {"name": "import", "repeat_harmless": False, "wanted_ms": 1000}]}))
+    made = writer.compose(
+        writer.describe(
+            {
+                "name": "a",
+                "kinds": [
+                    {"name": "lookup", "repeat_harmless": True, "wanted_ms": 1000},
+                    {"name": "import", "repeat_harmless": False, "wanted_ms": 1000},
+                ],
+            }
+        )
+    )
 
     async def scenario() -> None:
         settings: dict[str, Any] = {
-            name: value for name, value in made["settings"].items() if isinstance(value, dict)}
+            name: value for name, value in made["settings"].items() if isinstance(value, dict)
+        }
         async with running(workers=2, **settings) as here:
-            answers = await asyncio.gather(*(
-                here.post(f"c{number}", f"/{'lookup' if number % 2 else 'import'}") for number in range(12)))
+            answers = await asyncio.gather(
+                *(here.post(f"c{number}", f"/{'lookup' if number % 2 else 'import'}") for number in range(12))
+            )
             assert [answer.status for answer in answers] == [200] * 12
-            posts = [message.headers["x-correlation-id"] for worker in here.workers for message in worker.seen
-                     if message.method == "POST"]
+            posts = [
+                message.headers["x-correlation-id"]
+                for worker in here.workers
+                for message in worker.seen
+                if message.method == "POST"
+            ]
             assert len(posts) == len(set(posts)) == 12
+
     asyncio.run(scenario())
--- a/weldquay/__main__.py
+++ b/weldquay/__main__.py
@@ -24,7 +24,8 @@
     # Until there is a handler SIGHUP waits: it asks for a reload and must never end the program.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
     try:
         config = load(os.environ)
     except ConfigError as error:
--- a/weldquay/adapter.py
+++ b/weldquay/adapter.py
@@ -97,8 +97,12 @@
 def main() -> int:
     """Serve standard input; the exit status."""
     parser = argparse.ArgumentParser("weldquay.adapter", description="Decisions on the simulator's wire.")
-    parser.add_argument("--room", metavar="FILE", default=os.environ.get("GW_ROOM"),
-                        help="figures for holding room for large jobs (or $GW_ROOM)")
+    parser.add_argument(
+        "--room",
+        metavar="FILE",
+        default=os.environ.get("GW_ROOM"),
+        help="figures for holding room for large jobs (or $GW_ROOM)",
+    )
     path, room = parser.parse_args().room, None
     try:
         if path:
--- a/weldquay/cli.py
+++ b/weldquay/cli.py
@@ -21,15 +21,25 @@
 
 FILE = click.Path(path_type=Path)
 catalogue_option = click.option(
-    "--catalogue", envvar="GW_CATALOGUE", metavar="FILE|SITE",
-    help="The site's facts: a file, or the name of one that ships with weldquay.")
+    "--catalogue",
+    envvar="GW_CATALOGUE",
+    metavar="FILE|SITE",
+    help="The site's facts: a file, or the name of one that ships with weldquay.",
+)
 format_option = click.option(
-    "--format", "form", type=click.Choice(["text", "json"]), default="text", envvar="WELDQUAY_FORMAT",
-    show_default=True, help="For people, or for machines.")
+    "--format",
+    "form",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    envvar="WELDQUAY_FORMAT",
+    show_default=True,
+    help="For people, or for machines.",
+)
 LEVELS = {
     Level.ALWAYS: "an error; the program does not start",
     Level.SITE: "an error where a catalogue is named, for the program too; else a warning",
-    Level.ADVICE: "a warning"}
+    Level.ADVICE: "a warning",
+}
 
 
 def fail(text: str) -> None:
@@ -142,17 +152,33 @@
 def plain(found: Finding, path: str) -> dict[str, Any]:
     """A finding for machines."""
     return {
-        "file": path, "line": found.line, "column": found.column, "rule": found.rule, "path": found.path,
-        "severity": "error" if found.error else "warning", "text": found.text}
+        "file": path,
+        "line": found.line,
+        "column": found.column,
+        "rule": found.rule,
+        "path": found.path,
+        "severity": "error" if found.error else "warning",
+        "text": found.text,
+    }
 
 
 @config.command()
 @click.argument("output", type=FILE)
-@click.option("--from", "source", type=FILE, envvar="WELDQUAY_DESCRIPTION",
-              help="A JSON file that describes the application; the other options come before it.")
+@click.option(
+    "--from",
+    "source",
+    type=FILE,
+    envvar="WELDQUAY_DESCRIPTION",
+    help="A JSON file that describes the application; the other options come before it.",
+)
 @click.option("--name", envvar="GW_NAME", help="Who the application is.")
-@click.option("--kind", "kinds", multiple=True, metavar="NAME[:once|repeat[:WANTED_MS[:GIVE_UP_S]]]",
-              help="A kind of job; what the catalogue knows need not be told.")
+@click.option(
+    "--kind",
+    "kinds",
+    multiple=True,
+    metavar="NAME[:once|repeat[:WANTED_MS[:GIVE_UP_S]]]",
+    help="A kind of job; what the catalogue knows need not be told.",
+)
 @click.option("--customer", "customers", multiple=True, metavar="NAME=SHARE", help="A customer's share.")
 @click.option("--listen", envvar="GW_LISTEN", help="HOST:PORT for the application.")
 @click.option("--mgmt", envvar="GW_MGMT", help="HOST:PORT for operators.")
@@ -162,8 +188,13 @@
 @click.option("--force", is_flag=True, help="Replace a file that is there.")
 @catalogue_option
 def new(
-    output: Path, source: Path | None, kinds: tuple[str, ...], customers: tuple[str, ...], force: bool,
-    catalogue: str | None, **told: Any,
+    output: Path,
+    source: Path | None,
+    kinds: tuple[str, ...],
+    customers: tuple[str, ...],
+    force: bool,
+    catalogue: str | None,
+    **told: Any,
 ) -> None:
     """Write a whole configuration from a short description of the application.
 
@@ -274,8 +305,10 @@
 def page(rule: Rule) -> str:
     """A rule's page."""
     needs = "\nIt needs a catalogue (--catalogue)." if rule.facts else ""
-    return (f"{rule.id}: {rule.title}\n\n{rule.why}\n\nIt is {LEVELS[rule.level]}.{needs}\n\n"
-            f"Bad:   {rule.bad}\nGood:  {rule.good}")
+    return (
+        f"{rule.id}: {rule.title}\n\n{rule.why}\n\nIt is {LEVELS[rule.level]}.{needs}\n\n"
+        f"Bad:   {rule.bad}\nGood:  {rule.good}"
+    )
 
 
 @config.command()
@@ -296,8 +329,7 @@
     """All keys with what is right for them, their default and meaning, as Markdown."""
     lines = ["# Configuration keys", "", "Made by `weldquay config schema --reference`.", ""]
     for title, group in _groups("", schema.Document):
-        lines += [
-            f"## {title or 'The file'}", "", "| key | write | default | meaning |", "|" + " --- |" * 4]
+        lines += [f"## {title or 'The file'}", "", "| key | write | default | meaning |", "|" + " --- |" * 4]
         for field in msgspec.structs.fields(group):
             if schema.struct_of(field.type) is None or field.required:
                 default = "required" if field.required else f"`{schema.json_text(_default(field))}`"
--- a/weldquay/config/difference.py
+++ b/weldquay/config/difference.py
@@ -79,7 +79,9 @@
 
 
 def _differ(
-    steps: tuple[str | int, ...], old: Any, new: Any,
+    steps: tuple[str | int, ...],
+    old: Any,
+    new: Any,
 ) -> Iterator[tuple[tuple[str | int, ...], Any, Any]]:
     if isinstance(old, dict) and isinstance(new, dict):
         for key in (*old, *(key for key in new if key not in old)):
--- a/weldquay/config/reading.py
+++ b/weldquay/config/reading.py
@@ -67,7 +67,7 @@
     try:
         return data.decode("utf-8-sig")
     except UnicodeDecodeError as error:
-        line, column = position(data[:error.start].decode("utf-8", "replace"), error.start)
+        line, column = position(data[: error.start].decode("utf-8", "replace"), error.start)
         raise ReadingError(f"byte {error.start} is no UTF-8", line, column) from None
 
 
@@ -137,7 +137,7 @@
 
 def position(text: str, at: int) -> tuple[int, int]:
     """Line and column of an offset, both from 1."""
-    before = text[:max(0, at)]
+    before = text[: max(0, at)]
     return before.count("\n") + 1, len(before) - (before.rfind("\n") + 1) + 1
 
 
--- a/weldquay/config/rules/__init__.py
+++ b/weldquay/config/rules/__init__.py
@@ -10,4 +10,15 @@
 from weldquay.config.rules.base import RULES, Finding, Level, Rule, Where
 
 __all__ = [
-    "RULES", "Finding", "Level", "Rule", "Where", "customers", "jobs", "keys", "limits", "times", "whole"]
+    "RULES",
+    "Finding",
+    "Level",
+    "Rule",
+    "Where",
+    "customers",
+    "jobs",
+    "keys",
+    "limits",
+    "times",
+    "whole",
+]
--- a/weldquay/config/rules/base.py
+++ b/weldquay/config/rules/base.py
@@ -117,12 +117,21 @@
 
 
 def rule(
-    number: str, level: Level, title: str, *, why: str, bad: str, good: str, facts: bool = False,
+    number: str,
+    level: Level,
+    title: str,
+    *,
+    why: str,
+    bad: str,
+    good: str,
+    facts: bool = False,
 ) -> Callable[[Callable[[Where], Found]], Callable[[Where], Found]]:
     """Enter a rule in the table."""
+
     def enter(look: Callable[[Where], Found]) -> Callable[[Where], Found]:
         add(Rule(number, level, title, why, bad, good, look, facts))
         return look
+
     return enter
 
 
--- a/weldquay/config/rules/customers.py
+++ b/weldquay/config/rules/customers.py
@@ -8,56 +8,92 @@
 ROUNDING = 0.005  # shares in whole hundredths
 
 
-@rule("WQ401", Level.SITE, "A customer is missing from the share list", facts=True,
-      why="Calls that name it would count as beyond every share, and be the first to be turned away.",
-      bad="customers without wakkanai-dev", good='{"name": "wakkanai-dev", "fraction": 0.05}')
+@rule(
+    "WQ401",
+    Level.SITE,
+    "A customer is missing from the share list",
+    facts=True,
+    why="Calls that name it would count as beyond every share, and be the first to be turned away.",
+    bad="customers without wakkanai-dev",
+    good='{"name": "wakkanai-dev", "fraction": 0.05}',
+)
 def _missing(where: Where) -> Found:
     assert where.catalogue is not None
     told = {fold(str(row.get("name", ""))) for _, row in where.rows("customers")}
     for customer in where.catalogue.customers:
         if fold(customer.name) not in told:
-            yield ("settings", "customers"), (
-                f"{customer.name} has a share of {customer.fraction:g} at {where.catalogue.site}, but is not "
-                f'in customers: add {{"name": "{customer.name}", "fraction": {customer.fraction:g}}}')
+            yield (
+                ("settings", "customers"),
+                (
+                    f"{customer.name} has a share of {customer.fraction:g} at {where.catalogue.site}, but is "
+                    f'not in customers: add {{"name": "{customer.name}", "fraction": {customer.fraction:g}}}'
+                ),
+            )
 
 
-@rule("WQ402", Level.SITE, "Shares that add up to more than everything",
-      why="Each share would promise what another has been promised as well.",
-      bad='[{"fraction": 0.7}, {"fraction": 0.6}]', good='[{"fraction": 0.7}, {"fraction": 0.3}]')
+@rule(
+    "WQ402",
+    Level.SITE,
+    "Shares that add up to more than everything",
+    why="Each share would promise what another has been promised as well.",
+    bad='[{"fraction": 0.7}, {"fraction": 0.6}]',
+    good='[{"fraction": 0.7}, {"fraction": 0.3}]',
+)
 def _sum(where: Where) -> Found:
     shares = where.figures("customers", "fraction")
     if sum(shares) > 1 + ROUNDING:
         yield ("settings", "customers"), f"the shares add up to {sum(shares):g}: they may be 1 together"
 
 
-@rule("WQ403", Level.SITE, "A share other than the site's", facts=True,
-      why="The site gives its capacity out by these shares; another one takes from one for the other.",
-      bad='{"name": "kushiro-soft", "fraction": 0.5}', good='{"name": "kushiro-soft", "fraction": 0.17}')
+@rule(
+    "WQ403",
+    Level.SITE,
+    "A share other than the site's",
+    facts=True,
+    why="The site gives its capacity out by these shares; another one takes from one for the other.",
+    bad='{"name": "kushiro-soft", "fraction": 0.5}',
+    good='{"name": "kushiro-soft", "fraction": 0.17}',
+)
 def _other(where: Where) -> Found:
     assert where.catalogue is not None
     shares = {fold(each.name): each for each in where.catalogue.customers}
     for number, row in where.rows("customers"):
         customer, told = shares.get(fold(str(row.get("name", "")))), figure(row.get("fraction"))
         if customer is not None and told is not None and abs(told - customer.fraction) > ROUNDING:
-            yield ("settings", "customers", number, "fraction"), (
-                f"the share of {customer.name} is {customer.fraction:g}, not {told:g}")
+            yield (
+                ("settings", "customers", number, "fraction"),
+                (f"the share of {customer.name} is {customer.fraction:g}, not {told:g}"),
+            )
 
 
-@rule("WQ404", Level.SITE, "A customer stands twice in the share list",
-      why="Which of the two shares counts would be chance.",
-      bad='[{"name": "a"}, {"name": "A"}]', good='[{"name": "a"}]')
+@rule(
+    "WQ404",
+    Level.SITE,
+    "A customer stands twice in the share list",
+    why="Which of the two shares counts would be chance.",
+    bad='[{"name": "a"}, {"name": "A"}]',
+    good='[{"name": "a"}]',
+)
 def _doubled(where: Where) -> Found:
     seen: dict[str, str] = {}
     for number, name in where.named("customers"):
         if fold(name) in seen:
-            yield ("settings", "customers", number, "name"), (
-                f"{name} stands in the list already, as {seen[fold(name)]}: keep one")
+            yield (
+                ("settings", "customers", number, "name"),
+                (f"{name} stands in the list already, as {seen[fold(name)]}: keep one"),
+            )
         seen.setdefault(fold(name), name)
 
 
-@rule("WQ405", Level.SITE, "A customer is nearly, but not exactly, a known one", facts=True,
-      why="Calls carry the site's spelling; under another one the share is never used.",
-      bad='{"name": "kushiro-sofft"}', good='{"name": "kushiro-soft"}')
+@rule(
+    "WQ405",
+    Level.SITE,
+    "A customer is nearly, but not exactly, a known one",
+    facts=True,
+    why="Calls carry the site's spelling; under another one the share is never used.",
+    bad='{"name": "kushiro-sofft"}',
+    good='{"name": "kushiro-soft"}',
+)
 def _nearly(where: Where) -> Found:
     assert where.catalogue is not None
     known = [customer.name for customer in where.catalogue.customers]
@@ -65,14 +101,22 @@
         yield ("settings", "customers", number, "name"), f"{name} is not {other}: write {other}"
 
 
-@rule("WQ406", Level.ADVICE, "A customer that the catalogue does not know", facts=True,
-      why="Its share comes off those of the site's customers.",
-      bad='{"name": "nobody-we-know"}', good="enter it in the catalogue")
+@rule(
+    "WQ406",
+    Level.ADVICE,
+    "A customer that the catalogue does not know",
+    facts=True,
+    why="Its share comes off those of the site's customers.",
+    bad='{"name": "nobody-we-know"}',
+    good="enter it in the catalogue",
+)
 def _strange(where: Where) -> Found:
     assert where.catalogue is not None
     known = [customer.name for customer in where.catalogue.customers]
     for number, row in where.rows("customers"):
         name = str(row.get("name", ""))
         if known and name and not near(name, known) and fold(name) not in {fold(each) for each in known}:
-            yield ("settings", "customers", number, "name"), (
-                f"the catalogue of {where.catalogue.site} has no customer {name}")
+            yield (
+                ("settings", "customers", number, "name"),
+                (f"the catalogue of {where.catalogue.site} has no customer {name}"),
+            )
--- a/weldquay/config/rules/jobs.py
+++ b/weldquay/config/rules/jobs.py
@@ -6,94 +6,151 @@
 from weldquay.config.rules.base import Found, Level, Where, rule
 
 
-@rule("WQ201", Level.SITE, "A job that must never run twice is told to be repeatable", facts=True,
-      why="The dispatcher sends a retryable or dedup job again after a time-out, an error or a reset, and a "
-      "second copy while the first runs. A second segment-commit writes its segment twice.",
-      bad='{"name": "segment-commit", "effect": "retryable"}',
-      good='{"name": "segment-commit", "effect": "fragile"}')
+@rule(
+    "WQ201",
+    Level.SITE,
+    "A job that must never run twice is told to be repeatable",
+    facts=True,
+    why="The dispatcher sends a retryable or dedup job again after a time-out, an error or a reset, and a "
+    "second copy while the first runs. A second segment-commit writes its segment twice.",
+    bad='{"name": "segment-commit", "effect": "retryable"}',
+    good='{"name": "segment-commit", "effect": "fragile"}',
+)
 def _repeatable(where: Where) -> Found:
     for number, row, kind in where.jobs():
         if kind.never_twice and row.get("effect") in ("retryable", "dedup"):
-            yield ("settings", "services", number, "effect"), (
-                f"{row['name']} must never run twice, but its effect is {row['effect']}: write fragile")
-
-
-@rule("WQ202", Level.SITE, "A class is nearly, but not exactly, a known kind of job", facts=True,
-      why="Calls name their class in the path. Another spelling is another class: its rules do not hold for "
-      "the calls that were meant, and a job that must not run twice may slip through.",
-      bad='{"name": "segment_comit", "effect": "retryable"}',
-      good='{"name": "segment-commit", "effect": "fragile"}')
+            yield (
+                ("settings", "services", number, "effect"),
+                (f"{row['name']} must never run twice, but its effect is {row['effect']}: write fragile"),
+            )
+
+
+@rule(
+    "WQ202",
+    Level.SITE,
+    "A class is nearly, but not exactly, a known kind of job",
+    facts=True,
+    why="Calls name their class in the path. Another spelling is another class: its rules do not hold for "
+    "the calls that were meant, and a job that must not run twice may slip through.",
+    bad='{"name": "segment_comit", "effect": "retryable"}',
+    good='{"name": "segment-commit", "effect": "fragile"}',
+)
 def _nearly(where: Where) -> Found:
     assert where.catalogue is not None
     known = [kind.name for kind in where.catalogue.kinds]
     for number, name, other in where.misspelt("services", known):
-        yield ("settings", "services", number, "name"), (
-            f"{name} is not {other}: calls for {other} would not find it; write {other}, or a name "
-            "that nobody takes for it")
-
-
-@rule("WQ203", Level.ALWAYS, "Two classes have the same name",
-      why="Which of the two rules holds would be chance; one of them may allow a second run.",
-      bad='[{"name": "a", "effect": "fragile"}, {"name": "a", "effect": "retryable"}]',
-      good='[{"name": "a", "effect": "fragile"}, {"name": "b", "effect": "retryable"}]')
+        yield (
+            ("settings", "services", number, "name"),
+            (
+                f"{name} is not {other}: calls for {other} would not find it; write {other}, or a name "
+                "that nobody takes for it"
+            ),
+        )
+
+
+@rule(
+    "WQ203",
+    Level.ALWAYS,
+    "Two classes have the same name",
+    why="Which of the two rules holds would be chance; one of them may allow a second run.",
+    bad='[{"name": "a", "effect": "fragile"}, {"name": "a", "effect": "retryable"}]',
+    good='[{"name": "a", "effect": "fragile"}, {"name": "b", "effect": "retryable"}]',
+)
 def _doubled(where: Where) -> Found:
     seen: dict[str, int] = {}
     for number, name in where.named("services"):
         if name in seen:
-            yield ("settings", "services", number, "name"), (
-                f"{name} is the name of class {seen[name]} as well: give each class one name")
+            yield (
+                ("settings", "services", number, "name"),
+                (f"{name} is the name of class {seen[name]} as well: give each class one name"),
+            )
         seen.setdefault(name, number)
 
 
-@rule("WQ204", Level.SITE, "Two classes differ only in spelling",
-      why="`Segment_Commit` beside `segment-commit` is an alias: one may run again, the other not.",
-      bad='["segment-commit", "Segment_Commit"]', good='["segment-commit"]')
+@rule(
+    "WQ204",
+    Level.SITE,
+    "Two classes differ only in spelling",
+    why="`Segment_Commit` beside `segment-commit` is an alias: one may run again, the other not.",
+    bad='["segment-commit", "Segment_Commit"]',
+    good='["segment-commit"]',
+)
 def _alias(where: Where) -> Found:
     seen: dict[str, str] = {}
     for number, name in where.named("services"):
         other = seen.setdefault(fold(name), name)
         if other != name:
-            yield ("settings", "services", number, "name"), (
-                f"{name} and {other} are the same name in two spellings: keep one")
-
-
-@rule("WQ205", Level.ADVICE, "A class that the catalogue does not know", facts=True,
-      why="Nothing says whether it may run twice, nor how long its clients wait.",
-      bad='{"name": "mystery", "effect": "retryable"}', good="enter it in the catalogue")
+            yield (
+                ("settings", "services", number, "name"),
+                (f"{name} and {other} are the same name in two spellings: keep one"),
+            )
+
+
+@rule(
+    "WQ205",
+    Level.ADVICE,
+    "A class that the catalogue does not know",
+    facts=True,
+    why="Nothing says whether it may run twice, nor how long its clients wait.",
+    bad='{"name": "mystery", "effect": "retryable"}',
+    good="enter it in the catalogue",
+)
 def _strange(where: Where) -> Found:
     assert where.catalogue is not None
     known = [kind.name for kind in where.catalogue.kinds]
     for number, row in where.rows("services"):
         name = str(row.get("name", ""))
         if name and where.catalogue.kind(name) is None and not near(name, known):
-            yield ("settings", "services", number, "name"), (
-                f"the catalogue of {where.catalogue.site} has no kind {name}: it knows {', '.join(known)}")
-
-
-@rule("WQ206", Level.SITE, "Clients are told to repeat jobs that must never run twice",
-      why="The dispatcher cannot know a client's repeat under a new id from another job.",
-      bad='"clients": {"retries_fragile": true}', good='"clients": {"retries_fragile": false}')
+            yield (
+                ("settings", "services", number, "name"),
+                (f"the catalogue of {where.catalogue.site} has no kind {name}: it knows {', '.join(known)}"),
+            )
+
+
+@rule(
+    "WQ206",
+    Level.SITE,
+    "Clients are told to repeat jobs that must never run twice",
+    why="The dispatcher cannot know a client's repeat under a new id from another job.",
+    bad='"clients": {"retries_fragile": true}',
+    good='"clients": {"retries_fragile": false}',
+)
 def _clients(where: Where) -> Found:
     rows = [row for _, row in where.rows("services")]
     fragile = [str(row.get("name")) for row in rows if row.get("effect") == "fragile"]
     if where.group("settings", "clients").get("retries_fragile") is True and fragile:
-        yield ("settings", "clients", "retries_fragile"), (
-            f"clients would send {', '.join(fragile)} again after a failure, for a second run: write false")
-
-
-@rule("WQ207", Level.SITE, "Repeats are dropped for no time",
-      why="A dedup class is repeated within window_ns; at 0 it never is, and nobody sees why.",
-      bad='{"effect": "dedup"}', good='{"effect": "dedup", "window_ns": 5000000000}')
+        yield (
+            ("settings", "clients", "retries_fragile"),
+            (f"clients would send {', '.join(fragile)} again after a failure, for a second run: write false"),
+        )
+
+
+@rule(
+    "WQ207",
+    Level.SITE,
+    "Repeats are dropped for no time",
+    why="A dedup class is repeated within window_ns; at 0 it never is, and nobody sees why.",
+    bad='{"effect": "dedup"}',
+    good='{"effect": "dedup", "window_ns": 5000000000}',
+)
 def _window(where: Where) -> Found:
     for number, row in where.rows("services"):
         if row.get("effect") == "dedup" and not row.get("window_ns"):
-            yield ("settings", "services", number, "window_ns"), (
-                f"{row.get('name')} is dedup with a window of 0: write for how long workers drop repeats")
-
-
-@rule("WQ208", Level.SITE, "More attempts than the platform allows", facts=True,
-      why="Attempts beyond the limit end without having been sent, and their calls fail.",
-      bad='"max_attempts": 9', good='"max_attempts": 5')
+            yield (
+                ("settings", "services", number, "window_ns"),
+                (f"{row.get('name')} is dedup with a window of 0: write for how long workers drop repeats"),
+            )
+
+
+@rule(
+    "WQ208",
+    Level.SITE,
+    "More attempts than the platform allows",
+    facts=True,
+    why="Attempts beyond the limit end without having been sent, and their calls fail.",
+    bad='"max_attempts": 9',
+    good='"max_attempts": 5',
+)
 def _attempts(where: Where) -> Found:
     assert where.catalogue is not None
     most, told = where.catalogue.limits.max_attempts, where.number("settings", "caps", "max_attempts")
@@ -101,21 +158,35 @@
         yield ("settings", "caps", "max_attempts"), f"max_attempts is {told:g}: the platform allows {most}"
 
 
-@rule("WQ209", Level.SITE, "Second copies that the platform forbids", facts=True,
-      why="Two attempts of a request at once break its rules there.",
-      bad='"may_duplicate": true', good='"may_duplicate": false')
+@rule(
+    "WQ209",
+    Level.SITE,
+    "Second copies that the platform forbids",
+    facts=True,
+    why="Two attempts of a request at once break its rules there.",
+    bad='"may_duplicate": true',
+    good='"may_duplicate": false',
+)
 def _copies(where: Where) -> Found:
     assert where.catalogue is not None
     if where.catalogue.limits.may_duplicate is False and (
-            where.group("settings", "caps").get("may_duplicate") is True):
+        where.group("settings", "caps").get("may_duplicate") is True
+    ):
         yield ("settings", "caps", "may_duplicate"), "the platform allows no second copies: write false"
 
 
-@rule("WQ210", Level.ADVICE, "Second copies without a second attempt",
-      why="A second copy is an attempt: with max_attempts 1 there is none, whatever may_duplicate says.",
-      bad='{"may_duplicate": true, "max_attempts": 1}', good='{"may_duplicate": true, "max_attempts": 2}')
+@rule(
+    "WQ210",
+    Level.ADVICE,
+    "Second copies without a second attempt",
+    why="A second copy is an attempt: with max_attempts 1 there is none, whatever may_duplicate says.",
+    bad='{"may_duplicate": true, "max_attempts": 1}',
+    good='{"may_duplicate": true, "max_attempts": 2}',
+)
 def _one_attempt(where: Where) -> Found:
     caps = where.group("settings", "caps")
     if caps.get("may_duplicate") is True and caps.get("max_attempts", 1) == 1:
-        yield ("settings", "caps", "may_duplicate"), (
-            "may_duplicate is true, but max_attempts 1 leaves no second copy: write false, or 2 attempts")
+        yield (
+            ("settings", "caps", "may_duplicate"),
+            ("may_duplicate is true, but max_attempts 1 leaves no second copy: write false, or 2 attempts"),
+        )
--- a/weldquay/config/rules/keys.py
+++ b/weldquay/config/rules/keys.py
@@ -13,18 +13,34 @@
 from weldquay.config.rules.base import Found, Level, Rule, Where, add, rule
 
 for _number, _title, _why, _bad, _good in (
-    ("WQ001", "The file cannot be read", "It is absent, a folder, a FIFO, too large, or not permitted.",
-     "a folder", "a regular file of at most 16 MiB"),
-    ("WQ002", "The file is not one JSON object", "A reader that guesses would run with half of a file: text "
-     "cut short, text behind the end, a key twice, NaN, bytes that are no UTF-8, nesting beyond 64 levels.",
-     '{"name": "a", "name": "b"}', '{"name": "a"}'),
+    (
+        "WQ001",
+        "The file cannot be read",
+        "It is absent, a folder, a FIFO, too large, or not permitted.",
+        "a folder",
+        "a regular file of at most 16 MiB",
+    ),
+    (
+        "WQ002",
+        "The file is not one JSON object",
+        "A reader that guesses would run with half of a file: text "
+        "cut short, text behind the end, a key twice, NaN, bytes that are no UTF-8, nesting beyond 64 "
+        "levels.",
+        '{"name": "a", "name": "b"}',
+        '{"name": "a"}',
+    ),
 ):
     add(Rule(_number, Level.ALWAYS, _title, _why, _bad, _good, None))
 
 
-@rule("WQ101", Level.ALWAYS, "A key is missing",
-      why="The program cannot guess it; half of a configuration would run with wrong figures.",
-      bad='{"services": [{"name": "a"}]}', good='{"services": [{"name": "a", "aim_ns": 250000000, ...}]}')
+@rule(
+    "WQ101",
+    Level.ALWAYS,
+    "A key is missing",
+    why="The program cannot guess it; half of a configuration would run with wrong figures.",
+    bad='{"services": [{"name": "a"}]}',
+    good='{"services": [{"name": "a", "aim_ns": 250000000, ...}]}',
+)
 def _missing(where: Where) -> Found:
     for steps, group, value in _groups(where):
         for field in msgspec.structs.fields(group):
@@ -37,9 +53,14 @@
     return not steps and name in ("name", "listen", "discovery")
 
 
-@rule("WQ102", Level.ALWAYS, "A value is of the wrong type or out of range",
-      why="A figure that the program cannot use stops its start, or would make it break a rule later.",
-      bad='"max_attempts": "5"', good='"max_attempts": 5')
+@rule(
+    "WQ102",
+    Level.ALWAYS,
+    "A value is of the wrong type or out of range",
+    why="A figure that the program cannot use stops its start, or would make it break a rule later.",
+    bad='"max_attempts": "5"',
+    good='"max_attempts": 5',
+)
 def _wrong(where: Where) -> Found:
     for steps, group, value in _groups(where):
         for name, kind in schema.keys(group).items():
@@ -73,9 +94,14 @@
     return True
 
 
-@rule("WQ103", Level.ADVICE, "An unknown key",
-      why="The program disregards it. If it is a slip of the pen, the default holds in its place.",
-      bad='"max_atempts": 3', good='"max_attempts": 3')
+@rule(
+    "WQ103",
+    Level.ADVICE,
+    "An unknown key",
+    why="The program disregards it. If it is a slip of the pen, the default holds in its place.",
+    bad='"max_atempts": 3',
+    good='"max_attempts": 3',
+)
 def _unknown(where: Where) -> Found:
     for steps, group, value in _groups(where):
         known = list(schema.keys(group))
@@ -94,7 +120,9 @@
 
 
 def _collect(
-    steps: Steps, group: type[Struct], value: dict[str, Any],
+    steps: Steps,
+    group: type[Struct],
+    value: dict[str, Any],
     told: list[tuple[Steps, type[Struct], dict[str, Any]]],
 ) -> None:
     told.append((steps, group, value))
--- a/weldquay/config/rules/limits.py
+++ b/weldquay/config/rules/limits.py
@@ -21,22 +21,36 @@
 )
 
 
-@rule("WQ501", Level.SITE, "Cold starts or drains are treated more freely than the site allows", facts=True,
-      why="A cold worker that gets more than it can stand falls over and stays down; a drained one must get "
-      "nothing new once its grace is over.", bad='"fall_multiple": 10', good='"fall_multiple": 2.5')
+@rule(
+    "WQ501",
+    Level.SITE,
+    "Cold starts or drains are treated more freely than the site allows",
+    facts=True,
+    why="A cold worker that gets more than it can stand falls over and stays down; a drained one must get "
+    "nothing new once its grace is over.",
+    bad='"fall_multiple": 10',
+    good='"fall_multiple": 2.5',
+)
 def _safety(where: Where) -> Found:
     assert where.catalogue is not None
     for name, lax, what in SAFETY:
         most, told = getattr(where.catalogue.limits, name), where.number("settings", "safety", name)
         if most is not None and told is not None and (told - most) * lax > 1e-9 * most:
             shown = (seconds(told), seconds(most)) if name.endswith("_ns") else (f"{told:g}", f"{most:g}")
-            yield ("settings", "safety", name), (
-                f"{name} is {shown[0]}, the site says {shown[1]}: {what}; write {most:g}")
-
-
-@rule("WQ601", Level.ALWAYS, "An address that is none",
-      why="The program cannot listen at it, or connect to it.", bad='"listen": "127.0.0.1:99999"',
-      good='"listen": "127.0.0.1:8443"')
+            yield (
+                ("settings", "safety", name),
+                (f"{name} is {shown[0]}, the site says {shown[1]}: {what}; write {most:g}"),
+            )
+
+
+@rule(
+    "WQ601",
+    Level.ALWAYS,
+    "An address that is none",
+    why="The program cannot listen at it, or connect to it.",
+    bad='"listen": "127.0.0.1:99999"',
+    good='"listen": "127.0.0.1:8443"',
+)
 def _address(where: Where) -> Found:
     for name in ("listen", "mgmt", "discovery"):
         told = where.document.get(name)
@@ -44,10 +58,14 @@
             yield (name,), f"{name} is {told}: a port is at most {MAX_PORT}"
 
 
-@rule("WQ602", Level.SITE, "Two addresses clash",
-      why="Only one can listen there; the other would answer calls that are not for it, or not start.",
-      bad='{"listen": "127.0.0.1:8443", "mgmt": "127.0.0.1:8443"}',
-      good='{"listen": "127.0.0.1:8443", "mgmt": "127.0.0.1:8444"}')
+@rule(
+    "WQ602",
+    Level.SITE,
+    "Two addresses clash",
+    why="Only one can listen there; the other would answer calls that are not for it, or not start.",
+    bad='{"listen": "127.0.0.1:8443", "mgmt": "127.0.0.1:8443"}',
+    good='{"listen": "127.0.0.1:8443", "mgmt": "127.0.0.1:8444"}',
+)
 def _clash(where: Where) -> Found:
     names = [name for name in ("listen", "mgmt", "discovery") if isinstance(where.document.get(name), str)]
     for number, name in enumerate(names):
@@ -58,9 +76,14 @@
                 yield (name,), f"{name} and {other} are both {two}: give each a port of its own"
 
 
-@rule("WQ603", Level.SITE, "A sidecar that others can reach",
-      why="A sidecar serves one application on its own machine; on another address anybody may hand in jobs.",
-      bad='"listen": "10.0.0.4:8443"', good='"listen": "127.0.0.1:8443"')
+@rule(
+    "WQ603",
+    Level.SITE,
+    "A sidecar that others can reach",
+    why="A sidecar serves one application on its own machine; on another address anybody may hand in jobs.",
+    bad='"listen": "10.0.0.4:8443"',
+    good='"listen": "127.0.0.1:8443"',
+)
 def _loopback(where: Where) -> Found:
     for name in ("listen", "mgmt") if where.sidecar else ():
         told = where.document.get(name)
@@ -68,9 +91,15 @@
             yield (name,), f"{name} is {told}, no loopback address: write 127.0.0.1:{_port(told)}"
 
 
-@rule("WQ604", Level.SITE, "An address outside the site's networks", facts=True,
-      why="Nothing answers there, or something that is not the site's.", bad='"discovery": "192.0.2.1:8500"',
-      good='"discovery": "10.2.0.1:8500"')
+@rule(
+    "WQ604",
+    Level.SITE,
+    "An address outside the site's networks",
+    facts=True,
+    why="Nothing answers there, or something that is not the site's.",
+    bad='"discovery": "192.0.2.1:8500"',
+    good='"discovery": "10.2.0.1:8500"',
+)
 def _networks(where: Where) -> Found:
     assert where.catalogue is not None
     allowed = [ipaddress.ip_network(each) for each in where.catalogue.networks]
@@ -84,9 +113,14 @@
             yield (name,), f"{name} is {told}, outside {', '.join(where.catalogue.networks)}"
 
 
-@rule("WQ605", Level.ALWAYS, "Too few descriptors or too little memory to run at all",
-      why="The program itself, its listeners and its connections to workers need some before any client.",
-      bad='{"sockets": 64, "memory_mb": 8}', good='{"sockets": 256, "memory_mb": 64}')
+@rule(
+    "WQ605",
+    Level.ALWAYS,
+    "Too few descriptors or too little memory to run at all",
+    why="The program itself, its listeners and its connections to workers need some before any client.",
+    bad='{"sockets": 64, "memory_mb": 8}',
+    good='{"sockets": 256, "memory_mb": 64}',
+)
 def _least(where: Where) -> Found:
     for name, least in (("sockets", LEAST_SOCKETS), ("memory_mb", LEAST_MEMORY_MB)):
         told = where.number("limits", name)
@@ -94,10 +128,15 @@
             yield ("limits", name), f"limits.{name} is {told:g}: the program needs {least} at least"
 
 
-@rule("WQ606", Level.ADVICE, "More calls allowed than there is room for",
-      why="Each call in hand holds a client's connection. Beyond the room the longest idle one is closed: "
-      "max_open is never reached, and clients are cut off instead of refused.",
-      bad='{"max_open": 100000, "sockets": 256}', good='{"max_open": 130, "sockets": 256}')
+@rule(
+    "WQ606",
+    Level.ADVICE,
+    "More calls allowed than there is room for",
+    why="Each call in hand holds a client's connection. Beyond the room the longest idle one is closed: "
+    "max_open is never reached, and clients are cut off instead of refused.",
+    bad='{"max_open": 100000, "sockets": 256}',
+    good='{"max_open": 130, "sockets": 256}',
+)
 def _room(where: Where) -> Found:
     limits = where.group("limits")
     sockets = figure(limits.get("sockets"), 1024.0) or 1024.0
@@ -105,13 +144,23 @@
     room = int(min(sockets * (1 - WORKERS_PART) - RESERVE, (memory - BASE_MB) * 2**20 / BYTES_EACH))
     told = where.number("settings", "caps", "max_open")
     if told is not None and told > room and sockets >= LEAST_SOCKETS and memory >= LEAST_MEMORY_MB:
-        yield ("settings", "caps", "max_open"), (
-            f"{told:g} calls may be open, but {sockets:g} descriptors and {memory:g} MB hold {room} clients")
-
-
-@rule("WQ607", Level.SITE, "A network that is none",
-      why="Who may connect would be another set than was meant.", bad='"clients": ["10.0.0.0/40"]',
-      good='"clients": ["10.0.0.0/8", "!10.1.0.0/16"]')
+        yield (
+            ("settings", "caps", "max_open"),
+            (
+                f"{told:g} calls may be open, but {sockets:g} descriptors and {memory:g} MB hold {room} "
+                "clients"
+            ),
+        )
+
+
+@rule(
+    "WQ607",
+    Level.SITE,
+    "A network that is none",
+    why="Who may connect would be another set than was meant.",
+    bad='"clients": ["10.0.0.0/40"]',
+    good='"clients": ["10.0.0.0/8", "!10.1.0.0/16"]',
+)
 def _access(where: Where) -> Found:
     for name in ("clients", "callbacks", "operators"):
         entries = where.group("access").get(name)
@@ -122,20 +171,32 @@
                 yield ("access", name, number), f"{entry} is no network: {error}"
 
 
-@rule("WQ608", Level.SITE, "A list of networks that lets nobody in",
-      why="It holds exceptions only; what they are taken from is missing.", bad='"clients": ["!10.1.0.0/16"]',
-      good='"clients": ["10.0.0.0/8", "!10.1.0.0/16"]')
+@rule(
+    "WQ608",
+    Level.SITE,
+    "A list of networks that lets nobody in",
+    why="It holds exceptions only; what they are taken from is missing.",
+    bad='"clients": ["!10.1.0.0/16"]',
+    good='"clients": ["10.0.0.0/8", "!10.1.0.0/16"]',
+)
 def _nobody(where: Where) -> Found:
     for name in ("clients", "callbacks", "operators"):
         entries = where.group("access").get(name)
         if isinstance(entries, list) and entries and all(str(each).startswith("!") for each in entries):
-            yield ("access", name), (
-                f"access.{name} holds exceptions only, so nobody may connect: add a network")
-
-
-@rule("WQ609", Level.ALWAYS, "Networks that this version does not hold anybody to",
-      why="The key is reserved: a file that names networks would be taken to keep others out, and does not.",
-      bad='"access": {"clients": ["10.0.0.0/8"]}', good="no access, and addresses that others cannot reach")
+            yield (
+                ("access", name),
+                (f"access.{name} holds exceptions only, so nobody may connect: add a network"),
+            )
+
+
+@rule(
+    "WQ609",
+    Level.ALWAYS,
+    "Networks that this version does not hold anybody to",
+    why="The key is reserved: a file that names networks would be taken to keep others out, and does not.",
+    bad='"access": {"clients": ["10.0.0.0/8"]}',
+    good="no access, and addresses that others cannot reach",
+)
 def _unheld(where: Where) -> Found:
     if any(where.group("access").values()):
         yield ("access",), "access is not enforced by this version: leave it out"
--- a/weldquay/config/rules/times.py
+++ b/weldquay/config/rules/times.py
@@ -5,82 +5,137 @@
 from weldquay.config.rules.base import Found, Level, Where, figure, rule, seconds
 
 
-@rule("WQ301", Level.SITE, "An aim beyond the time at which clients give up",
-      why="No client would wait for such an answer, so nothing could come in time by design.",
-      bad='{"aim_ns": 9000000000, "give_up_ns": 5000000000}',
-      good='{"aim_ns": 250000000, "give_up_ns": 5000000000}')
+@rule(
+    "WQ301",
+    Level.SITE,
+    "An aim beyond the time at which clients give up",
+    why="No client would wait for such an answer, so nothing could come in time by design.",
+    bad='{"aim_ns": 9000000000, "give_up_ns": 5000000000}',
+    good='{"aim_ns": 250000000, "give_up_ns": 5000000000}',
+)
 def _aim(where: Where) -> Found:
     for number, row in where.rows("services"):
         aim, give_up = figure(row.get("aim_ns")), figure(row.get("give_up_ns"))
         if aim is not None and give_up is not None and aim > give_up:
-            yield ("settings", "services", number, "aim_ns"), (
-                f"the aim of {row.get('name')} is {seconds(aim)}, but its clients give up after "
-                f"{seconds(give_up)}: write an aim below that")
-
-
-@rule("WQ302", Level.SITE, "A time-out beyond the clients' patience", facts=True,
-      why="Work that goes on after the client has left is wasted, and holds slots that others want.",
-      bad='{"name": "exact-lookup", "give_up_ns": 20000000000}',
-      good='{"name": "exact-lookup", "give_up_ns": 5000000000}')
+            yield (
+                ("settings", "services", number, "aim_ns"),
+                (
+                    f"the aim of {row.get('name')} is {seconds(aim)}, but its clients give up after "
+                    f"{seconds(give_up)}: write an aim below that"
+                ),
+            )
+
+
+@rule(
+    "WQ302",
+    Level.SITE,
+    "A time-out beyond the clients' patience",
+    facts=True,
+    why="Work that goes on after the client has left is wasted, and holds slots that others want.",
+    bad='{"name": "exact-lookup", "give_up_ns": 20000000000}',
+    good='{"name": "exact-lookup", "give_up_ns": 5000000000}',
+)
 def _patience(where: Where) -> Found:
     for number, row, kind in where.jobs():
         told = figure(row.get("give_up_ns"))
         if told is not None and told > kind.give_up_ns:
-            yield ("settings", "services", number, "give_up_ns"), (
-                f"{row['name']} would be waited for {seconds(told)}, but its clients give up after "
-                f"{seconds(kind.give_up_ns)}: write at most {kind.give_up_ns}")
-
-
-@rule("WQ303", Level.ADVICE, "A wanted time other than the site's", facts=True,
-      why="Order and refusals follow the aim; with another one the site's measure is not met.",
-      bad='{"name": "exact-lookup", "aim_ns": 100000000}',
-      good='{"name": "exact-lookup", "aim_ns": 250000000}')
+            yield (
+                ("settings", "services", number, "give_up_ns"),
+                (
+                    f"{row['name']} would be waited for {seconds(told)}, but its clients give up after "
+                    f"{seconds(kind.give_up_ns)}: write at most {kind.give_up_ns}"
+                ),
+            )
+
+
+@rule(
+    "WQ303",
+    Level.ADVICE,
+    "A wanted time other than the site's",
+    facts=True,
+    why="Order and refusals follow the aim; with another one the site's measure is not met.",
+    bad='{"name": "exact-lookup", "aim_ns": 100000000}',
+    good='{"name": "exact-lookup", "aim_ns": 250000000}',
+)
 def _other_aim(where: Where) -> Found:
     for number, row, kind in where.jobs():
         told = figure(row.get("aim_ns"))
         if kind.aim_ns is not None and told not in (None, float(kind.aim_ns)):
-            yield ("settings", "services", number, "aim_ns"), (
-                f"the site wants {row['name']} within {seconds(kind.aim_ns)}, not {seconds(told or 0)}")
-
-
-@rule("WQ304", Level.SITE, "A connection that takes longer than a whole job may",
-      why="A worker that is away would use up the client's time before another is tried.",
-      bad='"connect_timeout_ns": 8000000000', good='"connect_timeout_ns": 250000000')
+            yield (
+                ("settings", "services", number, "aim_ns"),
+                (f"the site wants {row['name']} within {seconds(kind.aim_ns)}, not {seconds(told or 0)}"),
+            )
+
+
+@rule(
+    "WQ304",
+    Level.SITE,
+    "A connection that takes longer than a whole job may",
+    why="A worker that is away would use up the client's time before another is tried.",
+    bad='"connect_timeout_ns": 8000000000',
+    good='"connect_timeout_ns": 250000000',
+)
 def _connect(where: Where) -> Found:
     told = where.number("settings", "caps", "connect_timeout_ns", default=250_000_000)
     least = min(where.figures("services", "give_up_ns"), default=None)
     if told is not None and least is not None and told >= least:
-        yield ("settings", "caps", "connect_timeout_ns"), (
-            f"connecting may take {seconds(told)}, but a client gives up after {seconds(least)}: "
-            "write a small part of that")
-
-
-@rule("WQ305", Level.ADVICE, "Advice to come back that outlasts the clients",
-      why="A client that is told to wait longer than it waits at all does not come back.",
-      bad='"max_retry_after_ns": 60000000000', good='"max_retry_after_ns": 2000000000')
+        yield (
+            ("settings", "caps", "connect_timeout_ns"),
+            (
+                f"connecting may take {seconds(told)}, but a client gives up after {seconds(least)}: "
+                "write a small part of that"
+            ),
+        )
+
+
+@rule(
+    "WQ305",
+    Level.ADVICE,
+    "Advice to come back that outlasts the clients",
+    why="A client that is told to wait longer than it waits at all does not come back.",
+    bad='"max_retry_after_ns": 60000000000',
+    good='"max_retry_after_ns": 2000000000',
+)
 def _retry_after(where: Where) -> Found:
     told = where.number("settings", "caps", "max_retry_after_ns", default=0.0) or 0.0
     most = max(where.figures("services", "give_up_ns"), default=None)
     if most is not None and told > most:
-        yield ("settings", "caps", "max_retry_after_ns"), (
-            f"clients may be told to wait {seconds(told)}, but none waits longer than {seconds(most)}")
-
-
-@rule("WQ306", Level.SITE, "Idle connections are kept longer than the workers keep them", facts=True,
-      why="A job written to a connection that its worker has closed is reset; nobody knows whether it ran.",
-      bad='"conn_idle_ns": 600000000000', good='"conn_idle_ns": 60000000000')
+        yield (
+            ("settings", "caps", "max_retry_after_ns"),
+            (f"clients may be told to wait {seconds(told)}, but none waits longer than {seconds(most)}"),
+        )
+
+
+@rule(
+    "WQ306",
+    Level.SITE,
+    "Idle connections are kept longer than the workers keep them",
+    facts=True,
+    why="A job written to a connection that its worker has closed is reset; nobody knows whether it ran.",
+    bad='"conn_idle_ns": 600000000000',
+    good='"conn_idle_ns": 60000000000',
+)
 def _idle(where: Where) -> Found:
     assert where.catalogue is not None
     most, told = where.catalogue.limits.conn_idle_ns, where.number("settings", "caps", "conn_idle_ns")
     if most is not None and told is not None and told > most:
-        yield ("settings", "caps", "conn_idle_ns"), (
-            f"idle connections are kept {seconds(told)}, the site closes them after {seconds(most)}: "
-            f"write at most {most}")
-
-
-@rule("WQ307", Level.SITE, "A stretch that is told twice, or below one running time",
-      why="aim_stretch and class_stretch add up; below 1 no job that runs for long could be in time.",
-      bad='{"aim_stretch": 2, "class_stretch": [2]}', good='{"class_stretch": [2]}')
+        yield (
+            ("settings", "caps", "conn_idle_ns"),
+            (
+                f"idle connections are kept {seconds(told)}, the site closes them after {seconds(most)}: "
+                f"write at most {most}"
+            ),
+        )
+
+
+@rule(
+    "WQ307",
+    Level.SITE,
+    "A stretch that is told twice, or below one running time",
+    why="aim_stretch and class_stretch add up; below 1 no job that runs for long could be in time.",
+    bad='{"aim_stretch": 2, "class_stretch": [2]}',
+    good='{"class_stretch": [2]}',
+)
 def _stretch(where: Where) -> Found:
     listed = where.group("settings", "family_info").get("class_stretch")
     listed = listed if isinstance(listed, list) else []
@@ -88,6 +143,10 @@
         own = figure(row.get("aim_stretch"), 0.0) or 0.0
         other = figure(listed[number], 0.0) or 0.0 if number < len(listed) else 0.0
         if own and other:
-            yield ("settings", "services", number, "aim_stretch"), (
-                f"{row.get('name')} has a stretch of {own:g} here and {other:g} in class_stretch, which add "
-                "up to more than was meant: write one of them")
+            yield (
+                ("settings", "services", number, "aim_stretch"),
+                (
+                    f"{row.get('name')} has a stretch of {own:g} here and {other:g} in class_stretch, which "
+                    "add up to more than was meant: write one of them"
+                ),
+            )
--- a/weldquay/config/rules/whole.py
+++ b/weldquay/config/rules/whole.py
@@ -5,13 +5,31 @@
 from weldquay.config.rules.base import Found, Level, Where, figure, rule
 
 REPORT_FIELDS = (
-    "busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps", "x0", "x1", "latency_ms",
-    "queue", "inflight", "util", "qps", "eps")
-
-
-@rule("WQ701", Level.SITE, "A place that is not there",
-      why="The dispatcher would take itself to be in no zone, or to be one that nobody counts.",
-      bad='{"zone": 2, "zones": ["a", "b"]}', good='{"zone": 1, "zones": ["a", "b"]}')
+    "busy_reqs",
+    "pending",
+    "cpu_share",
+    "svc_ms",
+    "served_ps",
+    "failed_ps",
+    "x0",
+    "x1",
+    "latency_ms",
+    "queue",
+    "inflight",
+    "util",
+    "qps",
+    "eps",
+)
+
+
+@rule(
+    "WQ701",
+    Level.SITE,
+    "A place that is not there",
+    why="The dispatcher would take itself to be in no zone, or to be one that nobody counts.",
+    bad='{"zone": 2, "zones": ["a", "b"]}',
+    good='{"zone": 1, "zones": ["a", "b"]}',
+)
 def _place(where: Where) -> Found:
     zones, zone = where.settings.get("zones"), where.number("settings", "zone", default=0.0) or 0.0
     if isinstance(zones, list) and zones and zone >= len(zones):
@@ -22,10 +40,14 @@
         yield ("settings", "me"), f"me is {me:g}, but group_size is {group:g}, counted from 0"
 
 
-@rule("WQ702", Level.SITE, "Lists by class that do not fit the classes",
-      why="Figures would belong to other classes than was meant, and the last ones to none.",
-      bad='{"services": [{...}, {...}], "class_stretch": [2.0, 2.0, 1.75]}',
-      good='{"services": [{...}, {...}], "class_stretch": [2.0, 1.75]}')
+@rule(
+    "WQ702",
+    Level.SITE,
+    "Lists by class that do not fit the classes",
+    why="Figures would belong to other classes than was meant, and the last ones to none.",
+    bad='{"services": [{...}, {...}], "class_stretch": [2.0, 2.0, 1.75]}',
+    good='{"services": [{...}, {...}], "class_stretch": [2.0, 1.75]}',
+)
 def _lists(where: Where) -> Found:
     count, family = len(where.rows("services")), where.group("settings", "family_info")
     for name in ("class_stretch", "class_kind", "class_priority"):
@@ -34,21 +56,33 @@
             yield ("settings", "family_info", name), f"{name} has {len(told)} figures for {count} classes"
 
 
-@rule("WQ703", Level.SITE, "A kind of machine that is not there",
-      why="No worker could run the class: all its jobs would be refused.",
-      bad='{"shapes": ["fast"], "class_kind": [3]}', good='{"shapes": ["fast"], "class_kind": [0]}')
+@rule(
+    "WQ703",
+    Level.SITE,
+    "A kind of machine that is not there",
+    why="No worker could run the class: all its jobs would be refused.",
+    bad='{"shapes": ["fast"], "class_kind": [3]}',
+    good='{"shapes": ["fast"], "class_kind": [0]}',
+)
 def _kinds(where: Where) -> Found:
     shapes, kinds = where.settings.get("shapes"), where.group("settings", "family_info").get("class_kind")
     for number, kind in enumerate(kinds if isinstance(kinds, list) else []):
         told = figure(kind, -1.0)
         if isinstance(shapes, list) and told is not None and told >= max(1, len(shapes)):
-            yield ("settings", "family_info", "class_kind", number), (
-                f"class_kind is {told:g}, but shapes names {len(shapes)}, counted from 0; -1 is any")
-
-
-@rule("WQ704", Level.ADVICE, "Load reports that tell nothing",
-      why="Without free slots or jobs held, all workers are taken to be alike; jobs are spread by chance.",
-      bad='{"via": "inline", "fields": []}', good='{"via": "inline", "fields": ["pending", "x0", "x1"]}')
+            yield (
+                ("settings", "family_info", "class_kind", number),
+                (f"class_kind is {told:g}, but shapes names {len(shapes)}, counted from 0; -1 is any"),
+            )
+
+
+@rule(
+    "WQ704",
+    Level.ADVICE,
+    "Load reports that tell nothing",
+    why="Without free slots or jobs held, all workers are taken to be alike; jobs are spread by chance.",
+    bad='{"via": "inline", "fields": []}',
+    good='{"via": "inline", "fields": ["pending", "x0", "x1"]}',
+)
 def _reports(where: Where) -> Found:
     info = where.group("settings", "load_info")
     names = info.get("fields")
@@ -57,22 +91,34 @@
         yield ("settings", "load_info", "fields"), "no field tells of free slots (x0) or jobs held"
     for number, name in enumerate(names):
         if str(name) not in REPORT_FIELDS:
-            yield ("settings", "load_info", "fields", number), (
-                f"{name} is no figure of a report: there are {', '.join(REPORT_FIELDS[:8])}")
-
-
-@rule("WQ705", Level.ADVICE, "All jobs are worth nothing",
-      why="Which job goes first, and whether room is held for it, follows worth.",
-      bad='[{"name": "a", "worth": 0}]', good='[{"name": "a", "worth": 1}]')
+            yield (
+                ("settings", "load_info", "fields", number),
+                (f"{name} is no figure of a report: there are {', '.join(REPORT_FIELDS[:8])}"),
+            )
+
+
+@rule(
+    "WQ705",
+    Level.ADVICE,
+    "All jobs are worth nothing",
+    why="Which job goes first, and whether room is held for it, follows worth.",
+    bad='[{"name": "a", "worth": 0}]',
+    good='[{"name": "a", "worth": 1}]',
+)
 def _worthless(where: Where) -> Found:
     rows = where.rows("services")
     if rows and all(figure(row.get("worth"), 1.0) == 0 for _, row in rows):
         yield ("settings", "services"), "no class is worth anything: give each its worth against the others"
 
 
-@rule("WQ706", Level.SITE, "Weights of a goal that are more than the whole",
-      why="They are parts of one result.", bad='{"whole": 0.9, "worst_class": 0.5}',
-      good='{"whole": 0.6, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.1}')
+@rule(
+    "WQ706",
+    Level.SITE,
+    "Weights of a goal that are more than the whole",
+    why="They are parts of one result.",
+    bad='{"whole": 0.9, "worst_class": 0.5}',
+    good='{"whole": 0.6, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.1}',
+)
 def _goal(where: Where) -> Found:
     told = where.group("settings", "goal")
     total = sum(figure(value, 0.0) or 0.0 for value in told.values())
@@ -80,29 +126,45 @@
         yield ("settings", "goal"), f"the weights add up to {total:g}: they may be 1 together"
 
 
-@rule("WQ707", Level.ADVICE, "Refusals that say nothing",
-      why="Clients that are not told when to come back come at once, and are refused again.",
-      bad='{"retry_after": true, "max_retry_after_ns": 0}',
-      good='{"retry_after": true, "max_retry_after_ns": 2000000000}')
+@rule(
+    "WQ707",
+    Level.ADVICE,
+    "Refusals that say nothing",
+    why="Clients that are not told when to come back come at once, and are refused again.",
+    bad='{"retry_after": true, "max_retry_after_ns": 0}',
+    good='{"retry_after": true, "max_retry_after_ns": 2000000000}',
+)
 def _silent(where: Where) -> Found:
     caps = where.group("settings", "caps")
     if caps.get("retry_after") is True and not caps.get("max_retry_after_ns"):
         yield ("settings", "caps", "max_retry_after_ns"), "retry_after is true, but the longest wait is 0"
 
 
-@rule("WQ708", Level.SITE, "A cold start that never ends, or is none",
-      why="Workers that are cold for ever get little for ever; a share of 1 says that none is cold.",
-      bad='{"cold_share": 0.3, "warm_after_ns": 0}', good='{"cold_share": 0.34, "warm_after_ns": 9000000000}')
+@rule(
+    "WQ708",
+    Level.SITE,
+    "A cold start that never ends, or is none",
+    why="Workers that are cold for ever get little for ever; a share of 1 says that none is cold.",
+    bad='{"cold_share": 0.3, "warm_after_ns": 0}',
+    good='{"cold_share": 0.34, "warm_after_ns": 9000000000}',
+)
 def _cold(where: Where) -> Found:
     share = where.number("settings", "safety", "cold_share", default=1.0) or 1.0
     if share < 1 and where.number("settings", "safety", "warm_after_ns") == 0:
-        yield ("settings", "safety", "warm_after_ns"), (
-            f"a worker starts at {share:g} of its capacity, but is warm after no time: write how long")
-
-
-@rule("WQ709", Level.ADVICE, "Operators cannot reach the dispatcher",
-      why="Without mgmt nobody can take a worker out, empty the dispatcher or upgrade it in order.",
-      bad='{"listen": "127.0.0.1:8443"}', good='{"listen": "127.0.0.1:8443", "mgmt": "127.0.0.1:8444"}')
+        yield (
+            ("settings", "safety", "warm_after_ns"),
+            (f"a worker starts at {share:g} of its capacity, but is warm after no time: write how long"),
+        )
+
+
+@rule(
+    "WQ709",
+    Level.ADVICE,
+    "Operators cannot reach the dispatcher",
+    why="Without mgmt nobody can take a worker out, empty the dispatcher or upgrade it in order.",
+    bad='{"listen": "127.0.0.1:8443"}',
+    good='{"listen": "127.0.0.1:8443", "mgmt": "127.0.0.1:8444"}',
+)
 def _mgmt(where: Where) -> Found:
     if not where.document.get("mgmt"):
         yield ("mgmt",), "there is no address for operators' calls (unless GW_MGMT gives one)"
--- a/weldquay/config/schema.py
+++ b/weldquay/config/schema.py
@@ -18,8 +18,10 @@
 Share = Annotated[float, Meta(ge=0, le=1, description="a part from 0 to 1")]
 Price = Annotated[float, Meta(ge=0, le=1000, description="a price from 0 up")]
 Name = Annotated[str, Meta(min_length=1, max_length=200, description="a name of 1 to 200 characters")]
-Place = Annotated[str, Meta(
-    pattern=r"^(\[[0-9A-Fa-f:.]+\]|[^:\s\[\]]+):[0-9]{1,5}$", description="HOST:PORT, or [IPv6]:PORT")]
+Place = Annotated[
+    str,
+    Meta(pattern=r"^(\[[0-9A-Fa-f:.]+\]|[^:\s\[\]]+):[0-9]{1,5}$", description="HOST:PORT, or [IPv6]:PORT"),
+]
 Count = Annotated[int, Meta(ge=1, le=1_000_000, description="a whole number from 1 up")]
 
 
@@ -33,10 +35,14 @@
     name: Annotated[Name, Meta(extra={"why": "the first part of a call's path"})]
     aim_ns: Annotated[Time, Meta(extra={"why": "an answer within this, and its stretch, is in time"})]
     give_up_ns: Annotated[Time, Meta(extra={"why": "how long a client waits for all its tries"})]
-    effect: Annotated[Literal["retryable", "dedup", "fragile"], Meta(
-        description="retryable (may run again), dedup (repeats are dropped) or fragile (never twice)")]
-    group: Annotated[Literal["all", "zone", "cell"], Meta(
-        description="all, zone or cell: the workers that drop a dedup job's repeats")] = "all"
+    effect: Annotated[
+        Literal["retryable", "dedup", "fragile"],
+        Meta(description="retryable (may run again), dedup (repeats are dropped) or fragile (never twice)"),
+    ]
+    group: Annotated[
+        Literal["all", "zone", "cell"],
+        Meta(description="all, zone or cell: the workers that drop a dedup job's repeats"),
+    ] = "all"
     window_ns: Annotated[Span, Meta(extra={"why": "for how long they drop them"})] = 0
     worth: Annotated[float, Meta(ge=0, le=1e6, description="a figure from 0 up")] = 1.0
     late_value: Annotated[Share, Meta(extra={"why": "part of the worth of a late answer"})] = 0.0
@@ -65,11 +71,25 @@
 class Safety(Part, frozen=True, kw_only=True):
     """settings.safety: the figures of the rules."""
 
-    cold_share: Annotated[float, Meta(gt=0, le=1, description="a part above 0, at most 1", extra={
-        "why": "capacity of a worker that has just started"})]
+    cold_share: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=1,
+            description="a part above 0, at most 1",
+            extra={"why": "capacity of a worker that has just started"},
+        ),
+    ]
     warm_after_ns: Span
-    fall_multiple: Annotated[float, Meta(ge=1, le=100, description="a factor from 1 to 100", extra={
-        "why": "a cold worker that gets more than so many times what it can do falls over"})]
+    fall_multiple: Annotated[
+        float,
+        Meta(
+            ge=1,
+            le=100,
+            description="a factor from 1 to 100",
+            extra={"why": "a cold worker that gets more than so many times what it can do falls over"},
+        ),
+    ]
     overload_for_ns: Span
     ask_within_ns: Time = 10_000_000_000
     answer_slack_ns: Span = 20_000_000
@@ -126,8 +146,10 @@
     """settings.clients: how clients behave."""
 
     marks_retry: bool = False
-    retries_fragile: Annotated[bool, Meta(extra={
-        "why": "clients send a job that must not run twice again after a failure: never true"})] = False
+    retries_fragile: Annotated[
+        bool,
+        Meta(extra={"why": "clients send a job that must not run twice again after a failure: never true"}),
+    ] = False
 
 
 class Goal(Part, frozen=True, kw_only=True):
@@ -209,8 +231,11 @@
 def _parts(kind: Any) -> list[Any]:
     inner = getattr(kind, "__args__", ())
     origin = getattr(kind, "__origin__", None)
-    return [kind, *([origin] if isinstance(origin, type) else []), *(
-        part for each in inner for part in _parts(each))]
+    return [
+        kind,
+        *([origin] if isinstance(origin, type) else []),
+        *(part for each in inner for part in _parts(each)),
+    ]
 
 
 def keys(group: type[Struct]) -> dict[str, Any]:
--- a/weldquay/config/writer.py
+++ b/weldquay/config/writer.py
@@ -77,19 +77,34 @@
     stretches = [_stretch(kind, site) for kind in told.kinds]
     limits, open_calls = _limits(told, services, origin)
     settings = {
-        "group_size": told.dispatchers, "me": 0, "zone": 0, "zones": ["here"],
-        "shapes": ["fast", "standard", "old"], "discovery": "ask", "worth_by": "work", "services": services,
+        "group_size": told.dispatchers,
+        "me": 0,
+        "zone": 0,
+        "zones": ["here"],
+        "shapes": ["fast", "standard", "old"],
+        "discovery": "ask",
+        "worth_by": "work",
+        "services": services,
         "family_info": {"class_stretch": stretches, "tells_start": True, "queue_order": "fifo"},
         "load_info": {"fields": ["svc_ms", "pending", "x0", "x1"], "via": "inline"},
         "customers": _customers(told, site, origin),
         "caps": _caps(services, site, origin, open_calls),
-        "safety": _safety(site, origin), "tariffs": {"probe": 0.002, "waste": 0.3}}
+        "safety": _safety(site, origin),
+        "tariffs": {"probe": 0.002, "waste": 0.3},
+    }
     origin["settings.group_size"] = "the description's dispatchers"
     seed = hashlib.sha256(told.name.encode()).hexdigest()[:16]
     origin["seed"] = "drawn from the name, so that the same description gives the same file"
     return {
-        "name": told.name, "listen": told.listen, "mgmt": told.mgmt, "discovery": told.discovery,
-        "seed": seed, "limits": limits, "settings": settings, "origin": origin}
+        "name": told.name,
+        "listen": told.listen,
+        "mgmt": told.mgmt,
+        "discovery": told.discovery,
+        "seed": seed,
+        "limits": limits,
+        "settings": settings,
+        "origin": origin,
+    }
 
 
 def _service(wish: Kind, site: Catalogue | None, origin: dict[str, str], number: int) -> dict[str, Any]:
@@ -116,17 +131,28 @@
         origin[f"{at}.effect"] = "the description" if own else source
     aim = int(wish.wanted_ms * MS) if wish.wanted_ms is not None else int(known.aim_ns or 0) if known else 0
     origin[f"{at}.aim_ns"] = "the description" if wish.wanted_ms is not None else source
-    give_up = int(wish.give_up_s * SECOND) if wish.give_up_s is not None else (
-        known.give_up_ns if known is not None else int(PATIENCE * aim))
-    origin[f"{at}.give_up_ns"] = "the description" if wish.give_up_s is not None else (
-        source if known is not None else f"{PATIENCE:g} times the wanted time")
+    give_up = (
+        int(wish.give_up_s * SECOND)
+        if wish.give_up_s is not None
+        else (known.give_up_ns if known is not None else int(PATIENCE * aim))
+    )
+    origin[f"{at}.give_up_ns"] = (
+        "the description"
+        if wish.give_up_s is not None
+        else (source if known is not None else f"{PATIENCE:g} times the wanted time")
+    )
     if known is not None and give_up > known.give_up_ns:
         raise DescriptionError(f"{name}: its clients give up after {known.give_up_ns / SECOND:g} s")
     if aim > give_up:
         raise DescriptionError(f"{name}: it is wanted only after its clients have given up")
     worth = wish.worth if wish.worth is not None else known.worth if known is not None else 1.0
-    return {"name": name, "aim_ns": max(1, aim), "give_up_ns": max(1, give_up),
-            "effect": "retryable" if safe else "fragile", "worth": worth}
+    return {
+        "name": name,
+        "aim_ns": max(1, aim),
+        "give_up_ns": max(1, give_up),
+        "effect": "retryable" if safe else "fragile",
+        "worth": worth,
+    }
 
 
 def _stretch(wish: Kind, site: Catalogue | None) -> float:
@@ -150,14 +176,18 @@
     if total > 1.005:
         raise DescriptionError(f"the customers' shares add up to {total:g}: they may be 1 together")
     origin["settings.customers"] = (
-        f"the catalogue of {site.site}, and the description" if site is not None else "the description")
+        f"the catalogue of {site.site}, and the description" if site is not None else "the description"
+    )
     return [
         {"name": name, "fraction": part, "quota_per_s": max(1.0, round(told.calls_per_s * part, 3))}
-        for name, part in rows.values()]
+        for name, part in rows.values()
+    ]
 
 
 def _limits(
-    told: Description, services: list[dict[str, Any]], origin: dict[str, str],
+    told: Description,
+    services: list[dict[str, Any]],
+    origin: dict[str, str],
 ) -> tuple[dict[str, Any], int]:
     """Descriptors and memory for the calls that are open at the expected rate, and how many that is."""
     stay_s = min(HELD_S, max(each["give_up_ns"] for each in services) / SECOND)
@@ -170,27 +200,43 @@
 
 
 def _caps(
-    services: list[dict[str, Any]], site: Catalogue | None, origin: dict[str, str], open_calls: int,
+    services: list[dict[str, Any]],
+    site: Catalogue | None,
+    origin: dict[str, str],
+    open_calls: int,
 ) -> dict[str, Any]:
     known = site.limits if site is not None else None
     least = min(each["give_up_ns"] for each in services)
     caps = {
-        "cancel": True, "probes": True, "may_duplicate": bool(known and known.may_duplicate),
-        "max_attempts": (known and known.max_attempts) or 3, "max_open": open_calls, "retry_after": True,
+        "cancel": True,
+        "probes": True,
+        "may_duplicate": bool(known and known.may_duplicate),
+        "max_attempts": (known and known.max_attempts) or 3,
+        "max_open": open_calls,
+        "retry_after": True,
         "max_retry_after_ns": (known and known.max_retry_after_ns) or 2 * SECOND,
         "connect_timeout_ns": min((known and known.connect_timeout_ns) or 250 * MS, max(1, least // 4)),
-        "conn_idle_ns": (known and known.conn_idle_ns) or 15 * SECOND}
+        "conn_idle_ns": (known and known.conn_idle_ns) or 15 * SECOND,
+    }
     origin["settings.caps"] = f"the catalogue of {site.site}" if site is not None else "usual figures"
     return caps
 
 
 def _safety(site: Catalogue | None, origin: dict[str, str]) -> dict[str, Any]:
     known = site.limits if site is not None else None
-    usual = {"cold_share": 0.34, "warm_after_ns": 10 * SECOND, "fall_multiple": 2.0,
-             "overload_for_ns": 2 * SECOND, "ask_within_ns": 10 * SECOND, "stop_sending_within_ns": 250 * MS}
+    usual = {
+        "cold_share": 0.34,
+        "warm_after_ns": 10 * SECOND,
+        "fall_multiple": 2.0,
+        "overload_for_ns": 2 * SECOND,
+        "ask_within_ns": 10 * SECOND,
+        "stop_sending_within_ns": 250 * MS,
+    }
     origin["settings.safety"] = f"the catalogue of {site.site}" if site is not None else "careful figures"
-    return {name: value if known is None or getattr(known, name) is None else getattr(known, name)
-            for name, value in usual.items()}
+    return {
+        name: value if known is None or getattr(known, name) is None else getattr(known, name)
+        for name, value in usual.items()
+    }
 
 
 def text(document: dict[str, Any]) -> str:
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -292,8 +292,19 @@
 
 
 Event = (
-    Membership | Request | AttemptEnded | ProbeEnded | AttemptNote | StreamBegun | ClientGone | TimerDue
-    | PeerMessage | Ending | Retuned | Banned | Recalled
+    Membership
+    | Request
+    | AttemptEnded
+    | ProbeEnded
+    | AttemptNote
+    | StreamBegun
+    | ClientGone
+    | TimerDue
+    | PeerMessage
+    | Ending
+    | Retuned
+    | Banned
+    | Recalled
     | Adopted
 )
 
