--- a/weldquay/lab/direct.py
+++ b/weldquay/lab/direct.py
@@ -81,9 +81,14 @@
     """One run; `go` plays it to its end."""
 
     def __init__(
-        self, arrivals: Sequence[loads.Arrival], specs: Sequence[model.Spec],
-        settings: Sequence[api.Settings], seed: int = 1, kinds: Sequence[loads.Kind] = loads.KINDS,
-        retries: int = 0, troubles: Sequence[Trouble] = (),
+        self,
+        arrivals: Sequence[loads.Arrival],
+        specs: Sequence[model.Spec],
+        settings: Sequence[api.Settings],
+        seed: int = 1,
+        kinds: Sequence[loads.Kind] = loads.KINDS,
+        retries: int = 0,
+        troubles: Sequence[Trouble] = (),
     ) -> None:
         self.kinds, self.retries = kinds, retries
         self.random = np.random.Generator(np.random.PCG64(seed))
@@ -117,9 +122,14 @@
     def _entries(self) -> tuple[api.WorkerEntry, ...]:
         return tuple(
             api.WorkerEntry(
-                n + 1, self.states[n], kind=KIND_NUMBERS.get(spec.kind, 1), started_ns=self.started_ns[n],
-                common=n + 1)
-            for n, spec in enumerate(self.specs))
+                n + 1,
+                self.states[n],
+                kind=KIND_NUMBERS.get(spec.kind, 1),
+                started_ns=self.started_ns[n],
+                common=n + 1,
+            )
+            for n, spec in enumerate(self.specs)
+        )
 
     def _at(self, at_ns: int, do: Callable[[], None]) -> None:
         heapq.heappush(self.queue, (max(at_ns, self.now_ns), next(self.order), do))
@@ -134,8 +144,12 @@
         while self.queue and (end_ns is None or self.queue[0][0] <= end_ns):
             self.now_ns, _, do = heapq.heappop(self.queue)
             do()
-            if end_ns is None and not any(self.clients) and not self.attempts and all(
-                    record.fate is not loads.Fate.LOST for record in self.records):
+            if (
+                end_ns is None
+                and not any(self.clients)
+                and not self.attempts
+                and all(record.fate is not loads.Fate.LOST for record in self.records)
+            ):
                 break
         for worker in self.workers:
             worker.advance(self.now_ns)
@@ -153,8 +167,12 @@
         kind, number = self.kinds[arrival.kind], next(self.numbers)
         client = _Client(record, arrival, self.now_ns + kind.give_up_ns)
         self.clients[arrival.dispatcher][number] = client
-        self._tell(arrival.dispatcher, api.Request(
-            number, arrival.kind, kind.give_up_ns, float(arrival.slots), arrival.memory, arrival.hint_ns))
+        self._tell(
+            arrival.dispatcher,
+            api.Request(
+                number, arrival.kind, kind.give_up_ns, float(arrival.slots), arrival.memory, arrival.hint_ns
+            ),
+        )
 
     def _answer(self, dispatcher: int, number: int, fate: loads.Fate, wait_ns: int = 0) -> None:
         client = self.clients[dispatcher].pop(number, None)
@@ -212,8 +230,10 @@
         client = self.clients[dispatcher].get(action.request)
         if client is None or self.now_ns >= client.deadline_ns:
             number = 0 if client is None else client.sends
-            self._tell(dispatcher, api.AttemptEnded(
-                action.request, number, action.worker, api.Outcome.MOOT, 0, client is None))
+            self._tell(
+                dispatcher,
+                api.AttemptEnded(action.request, number, action.worker, api.Outcome.MOOT, 0, client is None),
+            )
             return
         self.counts["sends"] += 1
         self.sends_after.append((self.now_ns, action.worker))
@@ -235,9 +255,18 @@
             fate = loads.judge(self.kinds[arrival.kind], arrival.work_ns, self.now_ns - came_ns)
             self._answer(dispatcher, attempt.request, fate, self.now_ns - came_ns - int(arrival.work_ns))
         self.counts[f"attempts_{outcome.value}"] += 1
-        self._tell(dispatcher, api.AttemptEnded(
-            attempt.request, attempt.number, attempt.worker, outcome, self.now_ns - attempt.sent_ns,
-            not client.open, report))
+        self._tell(
+            dispatcher,
+            api.AttemptEnded(
+                attempt.request,
+                attempt.number,
+                attempt.worker,
+                outcome,
+                self.now_ns - attempt.sent_ns,
+                not client.open,
+                report,
+            ),
+        )
 
     # --- workers ---
 
@@ -267,8 +296,10 @@
             outcome, report = api.Outcome.CONNECT_FAILED, None
         else:
             outcome, report = api.Outcome.OK, self._report(worker)
-        self.after(NET_NS, lambda: self._tell(
-            dispatcher, api.ProbeEnded(worker, outcome, self.now_ns - sent_ns, report)))
+        self.after(
+            NET_NS,
+            lambda: self._tell(dispatcher, api.ProbeEnded(worker, outcome, self.now_ns - sent_ns, report)),
+        )
 
     def _look(self, worker: int) -> None:
         """Take in what has happened at a worker, and look again when more will have."""
--- a/weldquay/lab/http.py
+++ b/weldquay/lab/http.py
@@ -79,7 +79,9 @@
         return await self._ask(await asyncio.open_connection(self.host, self.port), data)
 
     async def _ask(
-        self, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter], data: bytes,
+        self,
+        connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        data: bytes,
     ) -> Message:
         reader, writer = connection
         kept = False
--- a/weldquay/lab/load.py
+++ b/weldquay/lab/load.py
@@ -33,10 +33,27 @@
 KINDS = (
     Kind("exact-lookup", 0.39, 310 * MS, 250 * MS, 5 * SECOND),
     Kind("fuzzy-match", 0.25, 610 * MS, 500 * MS, 7500 * MS, widths=(0.6, 0.25, 0.15)),
-    Kind("batch-import", 0.23, 1200 * MS, 600 * MS, 15 * SECOND, worth=8.0, effect="fragile",
-         widths=(0.6, 0.25, 0.15)),
-    Kind("segment-commit", 0.13, 610 * MS, 500 * MS, 7500 * MS, worth=2.0, stretch=1.75, effect="fragile",
-         widths=(0.6, 0.25, 0.15)),
+    Kind(
+        "batch-import",
+        0.23,
+        1200 * MS,
+        600 * MS,
+        15 * SECOND,
+        worth=8.0,
+        effect="fragile",
+        widths=(0.6, 0.25, 0.15),
+    ),
+    Kind(
+        "segment-commit",
+        0.13,
+        610 * MS,
+        500 * MS,
+        7500 * MS,
+        worth=2.0,
+        stretch=1.75,
+        effect="fragile",
+        widths=(0.6, 0.25, 0.15),
+    ),
 )
 
 
@@ -70,12 +87,18 @@
     parts = sum(kind.part for kind in kinds)
     return math.fsum(
         kind.part / parts * kind.work_ns * sum(p * 2.0**i for i, p in enumerate(kind.widths))
-        for kind in kinds)
+        for kind in kinds
+    )
 
 
 def draw(
-    seed: int, length_ns: int, capacity: float, load: float, dispatchers: int = 1,
-    kinds: Sequence[Kind] = KINDS, hints: Hints | None = None,
+    seed: int,
+    length_ns: int,
+    capacity: float,
+    load: float,
+    dispatchers: int = 1,
+    kinds: Sequence[Kind] = KINDS,
+    hints: Hints | None = None,
 ) -> list[Arrival]:
     """Poisson arrivals that ask for `load` of a fleet's capacity (work in a unit of time, all slots)."""
     hints = hints or Hints()
@@ -98,9 +121,18 @@
         elif odd < hints.missing + hints.wrong and hint_ns is not None:
             hint_ns = int(hint_ns * (hints.factor if guess.random() < 0.5 else 1 / hints.factor))
         memory = float(np.clip(wide.lognormal(math.log(0.5 * slots), 0.4), 0.05, slots))
-        arrivals.append(Arrival(
-            len(arrivals), int(at_ns), number, int(what.integers(dispatchers)), work_ns, slots, memory,
-            hint_ns))
+        arrivals.append(
+            Arrival(
+                len(arrivals),
+                int(at_ns),
+                number,
+                int(what.integers(dispatchers)),
+                work_ns,
+                slots,
+                memory,
+                hint_ns,
+            )
+        )
         at_ns += float(when.exponential(gap_ns))
     return arrivals
 
@@ -159,8 +191,12 @@
     rows = []
     for (name, slots), group in sorted(groups.items()):
         worths = np.array([worth(each.arrival, kinds) for each in group])
-        parts = {fate: float(sum(w for w, each in zip(worths, group, strict=True) if each.fate is fate)
-                             / worths.sum()) for fate in Fate}
+        parts = {
+            fate: float(
+                sum(w for w, each in zip(worths, group, strict=True) if each.fate is fate) / worths.sum()
+            )
+            for fate in Fate
+        }
         waits = [each.wait_ns / MS for each in group if each.fate in (Fate.IN_TIME, Fate.LATE)] or [math.nan]
         p50, p90, p99 = (float(np.percentile(waits, p)) for p in (50, 90, 99))
         refusals = sum(each.refusals for each in group) / len(group)
@@ -173,27 +209,53 @@
     return kinds[arrival.kind].worth * arrival.work_ns * arrival.slots
 
 
-def settings(
-    dispatchers: int = 1, kinds: Sequence[Kind] = KINDS, me: int = 0, **more: Any
-) -> dict[str, Any]:
+def settings(dispatchers: int = 1, kinds: Sequence[Kind] = KINDS, me: int = 0, **more: Any) -> dict[str, Any]:
     """Settings for these classes, as the operators write them."""
     return {
-        "group_size": dispatchers, "me": me, "zone": 0, "zones": ["here"],
-        "shapes": ["fast", "standard", "old"], "granularity_ns": 5 * MS, "discovery": "ask",
-        "worth_by": "work", "services": [
-            {"name": kind.name, "aim_ns": kind.aim_ns, "give_up_ns": kind.give_up_ns, "effect": kind.effect,
-             "worth": kind.worth} for kind in kinds],
+        "group_size": dispatchers,
+        "me": me,
+        "zone": 0,
+        "zones": ["here"],
+        "shapes": ["fast", "standard", "old"],
+        "granularity_ns": 5 * MS,
+        "discovery": "ask",
+        "worth_by": "work",
+        "services": [
+            {
+                "name": kind.name,
+                "aim_ns": kind.aim_ns,
+                "give_up_ns": kind.give_up_ns,
+                "effect": kind.effect,
+                "worth": kind.worth,
+            }
+            for kind in kinds
+        ],
         "family_info": {
-            "class_stretch": [kind.stretch for kind in kinds], "tells_start": True, "queue_order": "fifo",
-            "report_x0": "free slots", "report_x1": "free memory"},
+            "class_stretch": [kind.stretch for kind in kinds],
+            "tells_start": True,
+            "queue_order": "fifo",
+            "report_x0": "free slots",
+            "report_x1": "free memory",
+        },
         "load_info": {"fields": ["svc_ms", "pending", "x0", "x1"], "via": "inline"},
         "caps": {
-            "cancel": True, "probes": True, "may_duplicate": True, "max_attempts": 5, "max_open": 10_000,
-            "retry_after": True, "max_retry_after_ns": 2 * SECOND, "connect_timeout_ns": 250 * MS,
-            "conn_idle_ns": 60 * SECOND},
+            "cancel": True,
+            "probes": True,
+            "may_duplicate": True,
+            "max_attempts": 5,
+            "max_open": 10_000,
+            "retry_after": True,
+            "max_retry_after_ns": 2 * SECOND,
+            "connect_timeout_ns": 250 * MS,
+            "conn_idle_ns": 60 * SECOND,
+        },
         "safety": {
-            "ask_within_ns": 10 * SECOND, "cold_share": 0.34, "warm_after_ns": 8900 * MS,
-            "fall_multiple": 2.5, "overload_for_ns": 2 * SECOND},
+            "ask_within_ns": 10 * SECOND,
+            "cold_share": 0.34,
+            "warm_after_ns": 8900 * MS,
+            "fall_multiple": 2.5,
+            "overload_for_ns": 2 * SECOND,
+        },
         "tariffs": {"probe": 0.002, "waste": 0.3, "late_fail": 0.054},
         **more,
     }
--- a/weldquay/lab/model.py
+++ b/weldquay/lab/model.py
@@ -270,8 +270,9 @@
     def _snap(self) -> None:
         while len(self.snapshots) > 1 and self.snapshots[1][0] <= self.now_ns - self.spec.report_delay_ns:
             self.snapshots.popleft()
-        self.snapshots.append((self.now_ns, Figures(
-            self.service_ms, len(self.waiting), self.free_slots, self.free_memory)))
+        self.snapshots.append(
+            (self.now_ns, Figures(self.service_ms, len(self.waiting), self.free_slots, self.free_memory))
+        )
         self.snapshot_ns = self.now_ns + self.spec.report_every_ns
 
     def _press(self, job: Job) -> None:
--- a/weldquay/lab/room.py
+++ b/weldquay/lab/room.py
@@ -67,17 +67,28 @@
 def fleet(plan: Plan) -> list[model.Spec]:
     """Six match workers of three speeds."""
     return [
-        model.Spec(f"s-{n}", speed=speed, kind=kind, order=model.Order(plan.order),
-                   report_delay_ns=int(plan.report_delay_s * 1e9))
-        for n, (kind, speed) in enumerate(FLEET)]
+        model.Spec(
+            f"s-{n}",
+            speed=speed,
+            kind=kind,
+            order=model.Order(plan.order),
+            report_delay_ns=int(plan.report_delay_s * 1e9),
+        )
+        for n, (kind, speed) in enumerate(FLEET)
+    ]
 
 
 def arrivals(plan: Plan) -> list[loads.Arrival]:
     """The jobs of a plan; both arms have the same."""
     capacity = sum(spec.speed * spec.cores for spec in fleet(plan))
     return loads.draw(
-        plan.seed, int(plan.length_s * 1e9), capacity, plan.load, plan.dispatchers,
-        hints=loads.Hints(wrong=plan.wrong, missing=plan.missing))
+        plan.seed,
+        int(plan.length_s * 1e9),
+        capacity,
+        plan.load,
+        plan.dispatchers,
+        hints=loads.Hints(wrong=plan.wrong, missing=plan.missing),
+    )
 
 
 def play(plan: Plan) -> Outcome:
@@ -87,13 +98,25 @@
 
 def _virtual(plan: Plan) -> Outcome:
     room = figures.read(Path(plan.room)) if plan.arm == "on" else None
-    told = [decode_settings(Pairs.from_nested(loads.settings(plan.dispatchers, me=me)))[0]
-            for me in range(plan.dispatchers)]
-    run = Run(arrivals(plan), fleet(plan), [replace(each, room=room) for each in told], seed=plan.seed,
-              retries=RETRIES)
+    told = [
+        decode_settings(Pairs.from_nested(loads.settings(plan.dispatchers, me=me)))[0]
+        for me in range(plan.dispatchers)
+    ]
+    run = Run(
+        arrivals(plan),
+        fleet(plan),
+        [replace(each, room=room) for each in told],
+        seed=plan.seed,
+        retries=RETRIES,
+    )
     result = run.go()
-    return _outcome(plan, result.records, result.busy, dict(result.counts),
-                    {str(job): times for job, times in result.runs.items()})
+    return _outcome(
+        plan,
+        result.records,
+        result.busy,
+        dict(result.counts),
+        {str(job): times for job, times in result.runs.items()},
+    )
 
 
 async def _real(plan: Plan) -> Outcome:
@@ -107,7 +130,10 @@
 
 
 def _outcome(
-    plan: Plan, records: Sequence[loads.Record], busy: float, counters: dict[str, float],
+    plan: Plan,
+    records: Sequence[loads.Record],
+    busy: float,
+    counters: dict[str, float],
     runs: dict[str, int],
 ) -> Outcome:
     cells = {}
@@ -115,12 +141,26 @@
         parts = {fate.value: part for fate, part in row.parts.items()}
         p50, p90, p99 = row.wait_ms
         cells[f"{row.name} {row.slots or 'all'}"] = {
-            **parts, "refusals": row.refusals, "jobs": row.jobs, "p50": p50, "p90": p90, "p99": p99}
-    unsafe = {str(record.arrival.number) for record in records
-              if loads.KINDS[record.arrival.kind].effect == "fragile"}
+            **parts,
+            "refusals": row.refusals,
+            "jobs": row.jobs,
+            "p50": p50,
+            "p90": p90,
+            "p99": p99,
+        }
+    unsafe = {
+        str(record.arrival.number)
+        for record in records
+        if loads.KINDS[record.arrival.kind].effect == "fragile"
+    }
     return Outcome(
-        plan, cells, busy, counters, sum(record.answers != 1 for record in records),
-        sum(times > 1 for job, times in runs.items() if job in unsafe))
+        plan,
+        cells,
+        busy,
+        counters,
+        sum(record.answers != 1 for record in records),
+        sum(times > 1 for job, times in runs.items() if job in unsafe),
+    )
 
 
 def _middle(values: Iterable[float]) -> str:
@@ -133,31 +173,56 @@
     lines = []
     groups = itertools.groupby(
         sorted(outcomes, key=lambda each: (each.plan.dispatchers, each.plan.load)),
-        key=lambda each: (each.plan.dispatchers, each.plan.load))
+        key=lambda each: (each.plan.dispatchers, each.plan.load),
+    )
     for (dispatchers, load), members in groups:
         rows = list(members)
         rows.sort(key=lambda row: row.plan.seed)
         arms = {arm: [row for row in rows if row.plan.arm == arm] for arm in ARMS}
         seeds = len(arms["on"])
-        lines += [f"### {dispatchers} dispatcher(s), {load:g} of capacity, {seeds} seeds", "",
-                  "| class, slots | in time, off | in time, on | difference by seed | refused off, on "
-                  "| late off, on | failed off, on | wait p50, p90, p99 ms off | on |", "|" + " --- |" * 9]
+        lines += [
+            f"### {dispatchers} dispatcher(s), {load:g} of capacity, {seeds} seeds",
+            "",
+            "| class, slots | in time, off | in time, on | difference by seed | refused off, on "
+            "| late off, on | failed off, on | wait p50, p90, p99 ms off | on |",
+            "|" + " --- |" * 9,
+        ]
         for cell in sorted({name for row in rows for name in row.cells}):
             off, on = ([r.cells[cell] for r in arms[arm] if cell in r.cells] for arm in ARMS)
             if len(off) != len(on) or not on:
                 continue  # a class too rare for some seed
             both = [b["in time"] - a["in time"] for a, b in zip(off, on, strict=True)]
-            pairs = [", ".join(f"{statistics.median(r[key] for r in side):.3f}" for side in (off, on))
-                     for key in ("refused", "late", "failed")]
-            waits = [", ".join(f"{statistics.median(r[key] for r in side):.0f}" for key in WAITS)
-                     for side in (off, on)]
-            lines.append(f"| {cell} | " + " | ".join(
-                [_middle(r["in time"] for r in off), _middle(r["in time"] for r in on), _middle(both), *pairs,
-                 *waits]) + " |")
-        lines += ["", *(
-            f"- {arm}: workers' slots used {_middle(r.busy for r in arms[arm])}; answers missing or doubled "
-            f"{sum(r.unanswered for r in arms[arm])}; runs repeated against the class "
-            f"{sum(r.twice for r in arms[arm])}; " + _holds(arms[arm]) for arm in ARMS), ""]
+            pairs = [
+                ", ".join(f"{statistics.median(r[key] for r in side):.3f}" for side in (off, on))
+                for key in ("refused", "late", "failed")
+            ]
+            waits = [
+                ", ".join(f"{statistics.median(r[key] for r in side):.0f}" for key in WAITS)
+                for side in (off, on)
+            ]
+            lines.append(
+                f"| {cell} | "
+                + " | ".join(
+                    [
+                        _middle(r["in time"] for r in off),
+                        _middle(r["in time"] for r in on),
+                        _middle(both),
+                        *pairs,
+                        *waits,
+                    ]
+                )
+                + " |"
+            )
+        lines += [
+            "",
+            *(
+                f"- {arm}: workers' slots used {_middle(r.busy for r in arms[arm])}; "
+                f"answers missing or doubled {sum(r.unanswered for r in arms[arm])}; "
+                f"runs repeated against the class {sum(r.twice for r in arms[arm])}; " + _holds(arms[arm])
+                for arm in ARMS
+            ),
+            "",
+        ]
     return "\n".join(lines)
 
 
@@ -193,10 +258,24 @@
     """Play all runs and print the table."""
     told = options().parse_args(arguments)
     plans = [
-        Plan(seed, int(dispatchers), float(load), arm, told.length, told.virtual, told.room, told.wrong,
-             told.missing, told.report_delay, told.order)
-        for dispatchers in told.dispatchers.split(",") for load in told.loads.split(",")
-        for seed in range(told.first, told.first + told.seeds) for arm in ARMS]
+        Plan(
+            seed,
+            int(dispatchers),
+            float(load),
+            arm,
+            told.length,
+            told.virtual,
+            told.room,
+            told.wrong,
+            told.missing,
+            told.report_delay,
+            told.order,
+        )
+        for dispatchers in told.dispatchers.split(",")
+        for load in told.loads.split(",")
+        for seed in range(told.first, told.first + told.seeds)
+        for arm in ARMS
+    ]
     outcomes = []
     with ProcessPoolExecutor(told.at_once) as pool:
         for outcome in pool.map(play, plans):
--- a/weldquay/lab/servers.py
+++ b/weldquay/lab/servers.py
@@ -62,8 +62,12 @@
 
     def _load(self, now_ns: int) -> dict[str, float]:
         figures = self.model.report(now_ns)
-        return {"svc_ms": figures.service_ms, "pending": figures.waiting, "x0": figures.free_slots,
-                "x1": figures.free_memory}
+        return {
+            "svc_ms": figures.service_ms,
+            "pending": figures.waiting,
+            "x0": figures.free_slots,
+            "x1": figures.free_memory,
+        }
 
     def drain(self) -> None:
         """Finish what runs and hand back what waits."""
@@ -80,8 +84,11 @@
                 continue
             caller, load = self.callers.pop(call), self._load(time.monotonic_ns())
             told = {"id": call, "from": self.spec.name, "load": load}
-            told |= {"state": "done", "result": call} if isinstance(happening, model.Done) else {
-                "state": "returned"}
+            told |= (
+                {"state": "done", "result": call}
+                if isinstance(happening, model.Done)
+                else {"state": "returned"}
+            )
             self._go(self._tell(caller, told))
         if self.timer is not None:
             self.timer.cancel()
@@ -128,14 +135,25 @@
         self.changed = asyncio.Event()  # another one after each change
 
     def put(
-        self, worker_id: str, addresses: Sequence[str], phase: str = "SERVING", kind: str = "toy",
+        self,
+        worker_id: str,
+        addresses: Sequence[str],
+        phase: str = "SERVING",
+        kind: str = "toy",
         up_since_ms: int = 0,
     ) -> None:
         """List a worker under its addresses by caller; one address serves for all."""
         self.addresses[worker_id] = [*addresses]
         self.members[worker_id] = {
-            "id": worker_id, "host_port": addresses[0], "locality": "here", "flavor": kind, "cell": 0,
-            "phase": phase, "size": 1.0, "up_since_ms": up_since_ms}
+            "id": worker_id,
+            "host_port": addresses[0],
+            "locality": "here",
+            "flavor": kind,
+            "cell": 0,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": up_since_ms,
+        }
 
     async def tell(self) -> None:
         """Tell all watches that the list has changed."""
@@ -147,7 +165,7 @@
         """The whole list as a caller sees it."""
         rows = []
         for worker_id, member in self.members.items():
-            own = self.addresses.get(worker_id, [])[:caller + 1][1:]  # the first caller's is in the row
+            own = self.addresses.get(worker_id, [])[: caller + 1][1:]  # the first caller's is in the row
             rows.append({**member, "host_port": own[-1]} if own else member)
         return {"revision": self.revision, "complete": True, "members": rows}
 
--- a/weldquay/lab/site.py
+++ b/weldquay/lab/site.py
@@ -54,7 +54,8 @@
         """Start it and wait until it takes clients."""
         with (self.folder / "log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "weldquay", *self.arguments, env=self.environ, stdout=log, stderr=log)
+                sys.executable, "-m", "weldquay", *self.arguments, env=self.environ, stdout=log, stderr=log
+            )
         async with asyncio.timeout(READY_S):
             while not await self._healthy():
                 if self.process.returncode is not None:
@@ -124,8 +125,11 @@
                 record.answers += 1
                 record.answered_ns = arrival.at_ns + took_ns
                 record.wait_ns = took_ns - int(arrival.work_ns)
-                record.fate = loads.judge(kind, arrival.work_ns, took_ns) if answer.status == 200 else (
-                    loads.Fate.FAILED)
+                record.fate = (
+                    loads.judge(kind, arrival.work_ns, took_ns)
+                    if answer.status == 200
+                    else (loads.Fate.FAILED)
+                )
                 return
             record.refusals += 1
             if number < len(pauses):
@@ -137,10 +141,16 @@
         facts = {"slots": arrival.slots, "memory": round(arrival.memory, 6)}
         body = json.dumps({"work_ns": arrival.work_ns, **facts}).encode()
         hint = [] if arrival.hint_ns is None else [f"X-Weight-Hint: {arrival.hint_ns // 1000}"]
-        return await self.pools[arrival.dispatcher].ask(write_message(
-            f"POST /{kind.name}/run HTTP/1.1", body, f"X-Correlation-Id: {arrival.number:x}-{number}",
-            f"X-Time-Left-Ms: {kind.give_up_ns // model.MS}",
-            "X-Facts: " + ",".join(f"{name}={value}" for name, value in facts.items()), *hint))
+        return await self.pools[arrival.dispatcher].ask(
+            write_message(
+                f"POST /{kind.name}/run HTTP/1.1",
+                body,
+                f"X-Correlation-Id: {arrival.number:x}-{number}",
+                f"X-Time-Left-Ms: {kind.give_up_ns // model.MS}",
+                "X-Facts: " + ",".join(f"{name}={value}" for name, value in facts.items()),
+                *hint,
+            )
+        )
 
     @property
     def counters(self) -> dict[str, float]:
@@ -170,8 +180,11 @@
 
 @contextlib.asynccontextmanager
 async def site(
-    specs: Sequence[model.Spec], dispatchers: int = 1, kinds: Sequence[loads.Kind] = loads.KINDS,
-    arguments: Sequence[str] = (), **settings: Any,
+    specs: Sequence[model.Spec],
+    dispatchers: int = 1,
+    kinds: Sequence[loads.Kind] = loads.KINDS,
+    arguments: Sequence[str] = (),
+    **settings: Any,
 ) -> AsyncIterator[Site]:
     """A running site; its processes and servers end with the block."""
     with tempfile.TemporaryDirectory(prefix="weldquay-lab-") as folder, contextlib.ExitStack() as held:
@@ -183,13 +196,15 @@
         discovery, workers = Discovery(), [MatchWorker(spec, addresses) for spec in specs]
         for worker in workers:
             await worker.listen()
-            discovery.put(worker.spec.name, [worker.address_for(n) for n in range(dispatchers)],
-                           kind=worker.spec.kind)
+            discovery.put(
+                worker.spec.name, [worker.address_for(n) for n in range(dispatchers)], kind=worker.spec.kind
+            )
         nodes = []
         for number, address in enumerate(addresses):
             await discovery.start()
-            document = _document(number, address, discovery, loads.settings(
-                dispatchers, kinds, number, **settings))
+            document = _document(
+                number, address, discovery, loads.settings(dispatchers, kinds, number, **settings)
+            )
             nodes.append(_node(Path(folder) / f"n{number}", number, address, document, arguments))
         here = Site(nodes, workers, discovery, kinds)
         try:
@@ -205,13 +220,22 @@
 
 def _document(number: int, address: str, discovery: Discovery, settings: dict[str, Any]) -> dict[str, Any]:
     return {
-        "name": f"n{number}", "listen": address, "discovery": discovery.address_for(number),
-        "seed": f"{0x5EED + number:x}", "limits": {"memory_mb": 192, "sockets": 1024},
-        "known": discovery.told(number), "settings": settings}
+        "name": f"n{number}",
+        "listen": address,
+        "discovery": discovery.address_for(number),
+        "seed": f"{0x5EED + number:x}",
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "known": discovery.told(number),
+        "settings": settings,
+    }
 
 
 def _node(
-    folder: Path, number: int, address: str, document: dict[str, Any], arguments: Sequence[str],
+    folder: Path,
+    number: int,
+    address: str,
+    document: dict[str, Any],
+    arguments: Sequence[str],
 ) -> Node:
     (folder / "tmp").mkdir(parents=True)
     (folder / "config.json").write_text(json.dumps(document))
--- a/weldquay/learnt/running.py
+++ b/weldquay/learnt/running.py
@@ -27,7 +27,7 @@
 
         offered: whether calls may still name each class; empty: all.
         """
-        fresh = [float(each) for each in first_ns][len(self.mean_ns):]
+        fresh = [float(each) for each in first_ns][len(self.mean_ns) :]
         self.mean_ns += fresh
         self.logs += [None] * len(fresh)
         self.offered = list(offered) or [True] * len(self.mean_ns)
--- a/weldquay/ledger/records.py
+++ b/weldquay/ledger/records.py
@@ -128,7 +128,10 @@
         """Book an own push (positive) or an attempt's end (negative)."""
         self.changes.append((now_ns, slots, memory))
         self.changed, self.changed_memory, self.own = (
-            self.changed + slots, self.changed_memory + memory, self.own + slots)
+            self.changed + slots,
+            self.changed_memory + memory,
+            self.own + slots,
+        )
         self.forget(now_ns - LAPSE_NS)
 
     def remember(self) -> dict[str, Any]:
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/acceptor.py
@@ -48,7 +48,8 @@
         self.among: dict[State, dict[Connection, None]] = {state: {} for state in State}
         self.most_connections = self.full = min(
             config.sockets - config.sockets * 3 // 10 - RESERVE,
-            (config.memory_mb - BASE_MB) * 1024 * 1024 // BYTES_EACH)
+            (config.memory_mb - BASE_MB) * 1024 * 1024 // BYTES_EACH,
+        )
         self.ahead = 0  # bytes that clients have sent ahead of calls that wait
         self.most_ahead = (config.memory_mb - BASE_MB) * 1024 * 1024 // AHEAD_PART
         self.in_hand: set[str] = set()  # ids of the calls in hand
@@ -65,7 +66,8 @@
         """Take in other settings."""
         self.config = config
         self.classes = {
-            name.encode(): number for number, name in enumerate(config.class_names) if name in config.offered}
+            name.encode(): number for number, name in enumerate(config.class_names) if name in config.offered
+        }
 
     async def listen(self, inherited: int = -1) -> None:
         """Open the listener, or go on with that of an older process; `accept` begins to accept.
@@ -93,11 +95,15 @@
         """
         assert self.listener is not None
         self.server = await asyncio.get_running_loop().create_server(
-            self._protocol, sock=self.listener.dup(), backlog=TAKEN)
+            self._protocol, sock=self.listener.dup(), backlog=TAKEN
+        )
         self.listener.listen(WAITING)
 
     def _protocol(
-        self, ahead: bytes = b"", passed: Passed | None = None, expected: Expected | None = None,
+        self,
+        ahead: bytes = b"",
+        passed: Passed | None = None,
+        expected: Expected | None = None,
     ) -> asyncio.StreamReaderProtocol:
         reader = CountingReader(READ_SIZE)
         if ahead:
@@ -105,6 +111,7 @@
 
         async def accepted(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._accept(reader, writer, passed, expected)
+
         return asyncio.StreamReaderProtocol(reader, accepted)
 
     def stop_accepting(self) -> None:
@@ -159,7 +166,8 @@
         sock.setblocking(False)
         try:
             await asyncio.get_running_loop().connect_accepted_socket(
-                partial(self._protocol, passed.ahead, passed, expected), sock)
+                partial(self._protocol, passed.ahead, passed, expected), sock
+            )
         except OSError:  # the client has gone meanwhile
             sock.close()
             self.forget_call(expected)
@@ -205,7 +213,10 @@
         await self.tasks.stop()
 
     async def _accept(
-        self, reader: CountingReader, writer: asyncio.StreamWriter, passed: Passed | None,
+        self,
+        reader: CountingReader,
+        writer: asyncio.StreamWriter,
+        passed: Passed | None,
         expected: Expected | None,
     ) -> None:
         if len(self.connections) >= self.most_connections and not self._make_room():
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -21,8 +21,17 @@
 
 # What a reload takes from the file; the rest stays as it was at the start.
 MOVABLE = {
-    "discovery", "settings", "class_names", "offered", "report_fields", "connect_timeout_ns", "max_open",
-    "zones", "kinds", "document"}
+    "discovery",
+    "settings",
+    "class_names",
+    "offered",
+    "report_fields",
+    "connect_timeout_ns",
+    "max_open",
+    "zones",
+    "kinds",
+    "document",
+}
 AT_START = {"seed", "known"}  # of use at a start only, so a reload need not name their changes
 OPTIONAL = {"room", "origin"}  # may come, go and lack any key
 
@@ -159,7 +168,7 @@
     fresh = load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
     _check_whole("", running.document, fresh.document)
     for name in ("zones", "kinds"):
-        if getattr(fresh, name)[:len(getattr(running, name))] != getattr(running, name):
+        if getattr(fresh, name)[: len(getattr(running, name))] != getattr(running, name):
             raise ReloadRefused(f"{name} may be added to, but not changed, while the dispatcher runs")
     fresh = _number_classes(fresh, running)
     names = [each.name for each in fields(Config) if getattr(fresh, each.name) != getattr(running, each.name)]
@@ -198,11 +207,14 @@
 
     A dropped class keeps its number and its rules, for the jobs that came with it.
     """
-    rules = {name: replace(each, offered=False)
-             for name, each in zip(running.class_names, running.settings.classes, strict=True)}
+    rules = {
+        name: replace(each, offered=False)
+        for name, each in zip(running.class_names, running.settings.classes, strict=True)
+    }
     rules.update(zip(fresh.class_names, fresh.settings.classes, strict=True))  # new names come last
     return replace(
-        fresh, class_names=tuple(rules), settings=replace(fresh.settings, classes=tuple(rules.values())))
+        fresh, class_names=tuple(rules), settings=replace(fresh.settings, classes=tuple(rules.values()))
+    )
 
 
 def read(environ: Mapping[str, str], document: dict[str, Any]) -> Config:
@@ -230,10 +242,11 @@
         mgmt=address("GW_MGMT", mgmt) if mgmt else None,
         seed=_seed(document.get("seed", "0")),
         # Discovery on sockets answers only when asked, whatever mode the deployment's simulator has.
-        settings=replace(
-            settings, asks_list=True, list_near=not settings.asks_list, room=_room(document)),
-        class_names=class_names, offered=frozenset(class_names),
-        zones=tuple(pairs.items("zones")), kinds=tuple(pairs.items("shapes")),
+        settings=replace(settings, asks_list=True, list_near=not settings.asks_list, room=_room(document)),
+        class_names=class_names,
+        offered=frozenset(class_names),
+        zones=tuple(pairs.items("zones")),
+        kinds=tuple(pairs.items("shapes")),
         report_fields=dict(zip(pairs.items("load_info.fields"), meanings, strict=True)),
         connect_timeout_ns=pairs.whole("caps.connect_timeout_ns", 250_000_000),
         max_open=pairs.whole("caps.max_open", 10_000),
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -20,7 +20,16 @@
 
 from weldquay.net.calls import Answer, Call, Expected, Overload, Passed, Served
 from weldquay.net.messages import (
-    MAX_BODY, Body, Figures, MessageError, callback, class_name, figures, job_of, last_answer, request_again,
+    MAX_BODY,
+    Body,
+    Figures,
+    MessageError,
+    callback,
+    class_name,
+    figures,
+    job_of,
+    last_answer,
+    request_again,
     retry_after,
 )
 from weldquay.net.streams import HUNG_UP, CountingReader, shows, unread
@@ -36,7 +45,10 @@
 MAX_LINGER = 1024 * 1024  # and may send on so much, which is read and dropped
 SLOW_S = 10.0  # a client that takes its last answer slowly has so long; one that takes nothing LINGER_S
 REASONS = {
-    200: b"OK", 204: b"No Content", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    200: b"OK",
+    204: b"No Content",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
 }
 HEALTH, CALLBACK = b"/_health", b"/callback"
 
@@ -54,8 +66,12 @@
     """A connection that a client or a match worker opened; it carries one request at a time."""
 
     def __init__(
-        self, acceptor: Acceptor, reader: CountingReader, writer: asyncio.StreamWriter,
-        passed: Passed | None, expected: Expected | None,
+        self,
+        acceptor: Acceptor,
+        reader: CountingReader,
+        writer: asyncio.StreamWriter,
+        passed: Passed | None,
+        expected: Expected | None,
     ) -> None:
         self.acceptor, self.reader, self.writer = acceptor, reader, writer
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
@@ -215,7 +231,8 @@
         """
         most = self.acceptor.most_ahead
         if self.ahead + len(data) > MAX_AHEAD and (
-                self.ahead + len(data) > MOST_AHEAD or self.acceptor.ahead + len(data) > most):
+            self.ahead + len(data) > MOST_AHEAD or self.acceptor.ahead + len(data) > most
+        ):
             self.overrun = True
         if not self.overrun:
             self._count_ahead(self.ahead + len(data))
@@ -244,8 +261,9 @@
                     self._leave()
                 else:  # more bytes are needed
                     if self.http.they_are_waiting_for_100_continue:
-                        self.writer.write(self.http.send(
-                            h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                        self.writer.write(
+                            self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+                        )
                     if self.state is State.RESTING and (self.request or self.http.trailing_data[0]):
                         self._enter(State.READING)
                     return
@@ -256,7 +274,8 @@
         self.request, self.body, self.size = request, [], 0
         headers = dict(request.headers)
         if b"transfer-encoding" in headers and (
-                b"content-length" in headers or request.http_version < b"1.1"):
+            b"content-length" in headers or request.http_version < b"1.1"
+        ):
             # Guards against a request hidden in a body: where it ends depends on which header one believes.
             self._reject(400, "the length of the body is ambiguous")
         elif int(headers.get(b"content-length", b"0")) > MAX_BODY:
@@ -369,8 +388,9 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         if self.acceptor.closing or self.overrun:
             headers.append((b"Connection", b"close"))
-        data = self.http.send(h11.Response(
-            status_code=status, headers=headers, reason=REASONS[status])) or b""
+        data = (
+            self.http.send(h11.Response(status_code=status, headers=headers, reason=REASONS[status])) or b""
+        )
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -80,25 +80,43 @@
         return call
 
     def _enter(
-        self, figures: Figures, job_class: int, payload: object, opened_ns: int, deadline_ns: int,
+        self,
+        figures: Figures,
+        job_class: int,
+        payload: object,
+        opened_ns: int,
+        deadline_ns: int,
         on_answer: Callable[[Answer], None],
     ) -> Call:
         self.last_call = (self.last_call + 1) % 2**32
         settings = self.config.settings
         call = Call(
-            figures.id, self.last_call, payload, deadline_ns, on_answer, figures, job_class,
-            settings.classes[job_class], opened_ns, settings.max_attempts)
+            figures.id,
+            self.last_call,
+            payload,
+            deadline_ns,
+            on_answer,
+            figures,
+            job_class,
+            settings.classes[job_class],
+            opened_ns,
+            settings.max_attempts,
+        )
         # By way of call_soon: after a stall of the loop the step that answers in time comes first.
         call.overdue = self.loop.call_later(
-            max(0, deadline_ns + OVERDUE_NS - time.monotonic_ns()) / 1e9, self.loop.call_soon, self._overdue,
-            call)
+            max(0, deadline_ns + OVERDUE_NS - time.monotonic_ns()) / 1e9,
+            self.loop.call_soon,
+            self._overdue,
+            call,
+        )
         self.calls[call.number] = call
         return call
 
     def _request(self, call: Call, left_ns: int) -> api.Request:
         told = call.figures
-        return api.Request(call.number, call.job_class, left_ns, told.slots, told.memory, told.hint_ns,
-                           told.key, told.repeat)
+        return api.Request(
+            call.number, call.job_class, left_ns, told.slots, told.memory, told.hint_ns, told.key, told.repeat
+        )
 
     def retune(self, config: Config) -> None:
         """Take in other settings; calls in hand keep those that they came with."""
@@ -171,16 +189,27 @@
             self._answer(call, Served(result))
         if (over := not call.open) and not call.live:
             self.calls.pop(call.number, None)
-        self._tell(api.AttemptEnded(
-            call.number, attempt.number, attempt.worker, outcome, time.monotonic_ns() - attempt.sent_ns, over,
-            load))
+        self._tell(
+            api.AttemptEnded(
+                call.number,
+                attempt.number,
+                attempt.worker,
+                outcome,
+                time.monotonic_ns() - attempt.sent_ns,
+                over,
+                load,
+            )
+        )
 
     def _register(self, attempt: Attempt) -> None:
         """Count an attempt as out, until its end or its deadline."""
         call = attempt.call
         attempt.timer = self.loop.call_later(
-            max(0, attempt.deadline_ns - time.monotonic_ns()) / 1e9, self._give_up, attempt,
-            api.Outcome.TIMEOUT)
+            max(0, attempt.deadline_ns - time.monotonic_ns()) / 1e9,
+            self._give_up,
+            attempt,
+            api.Outcome.TIMEOUT,
+        )
         call.live[attempt.number] = self.attempts[call.number, attempt.number] = attempt
         self.at_worker[call.id, attempt.worker_id] = attempt
 
@@ -258,19 +287,30 @@
         """
         settings = self.config.settings
         return call.open and (
-            call.rules == settings.classes[call.job_class] and call.most == settings.max_attempts
-            and (call.safe or not call.ran) and not self.workers.is_telling(call))
+            call.rules == settings.classes[call.job_class]
+            and call.most == settings.max_attempts
+            and (call.safe or not call.ran)
+            and not self.workers.is_telling(call)
+        )
 
     def pass_on(self, call: Call) -> dict[str, Any]:
         """End a call here without an answer: a later process goes on with what this tells."""
-        attempts = [[each.number, each.worker_id, each.sent_ns, each.deadline_ns, each.begun_ns]
-                    for each in call.live.values()]
-        told = {"class": self.config.class_names[call.job_class], "opened_ns": call.opened_ns,
-                "deadline_ns": call.deadline_ns, "sends": call.sends, "attempts": attempts}
+        attempts = [
+            [each.number, each.worker_id, each.sent_ns, each.deadline_ns, each.begun_ns]
+            for each in call.live.values()
+        ]
+        told = {
+            "class": self.config.class_names[call.job_class],
+            "opened_ns": call.opened_ns,
+            "deadline_ns": call.deadline_ns,
+            "sends": call.sends,
+            "attempts": attempts,
+        }
         for attempt in list(call.live.values()):
             self._remove(attempt)
-            self._tell(api.AttemptEnded(
-                call.number, attempt.number, attempt.worker, api.Outcome.CANCELLED, 0, True))
+            self._tell(
+                api.AttemptEnded(call.number, attempt.number, attempt.worker, api.Outcome.CANCELLED, 0, True)
+            )
         self._close(call)
         self._tell(api.ClientGone(call.number))
         return told
@@ -281,17 +321,29 @@
         """Go on with a call as an earlier process told of it."""
         self.counters.add("calls_adopted")
         call = self._enter(
-            figures, self.config.class_names.index(told["class"]), payload, told["opened_ns"],
-            told["deadline_ns"], on_answer)
+            figures,
+            self.config.class_names.index(told["class"]),
+            payload,
+            told["opened_ns"],
+            told["deadline_ns"],
+            on_answer,
+        )
         call.sends, now_ns = told["sends"], time.monotonic_ns()
         worker = sent_ns = begun_ns = 0
         for number, worker_id, sent_ns, deadline_ns, begun_ns in told["attempts"]:
             worker = self._number(worker_id)
             attempt = Attempt(call, number, worker, worker_id, sent_ns, deadline_ns, 0, None, begun_ns, True)
             self._register(attempt)
-        self._tell(api.Adopted(
-            self._request(call, call.deadline_ns - now_ns), call.opened_ns, call.sends, worker, sent_ns,
-            begun_ns))
+        self._tell(
+            api.Adopted(
+                self._request(call, call.deadline_ns - now_ns),
+                call.opened_ns,
+                call.sends,
+                worker,
+                sent_ns,
+                begun_ns,
+            )
+        )
         return call
 
     def list_told(self) -> None:
@@ -307,9 +359,15 @@
         """A member in the module's numbers and on its clock; a start before the clock's is long ago."""
         started_ns = member.up_since_ms * MS - self.epoch_ns if member.up_since_ms else 0
         return api.WorkerEntry(
-            self.worker_numbers[member.id], member.state, member.cell, self.kinds[member.kind],
-            self.zones[member.zone], max(0, started_ns), member.weight,
-            zlib.crc32(f"{member.id} {member.up_since_ms}".encode()))
+            self.worker_numbers[member.id],
+            member.state,
+            member.cell,
+            self.kinds[member.kind],
+            self.zones[member.zone],
+            max(0, started_ns),
+            member.weight,
+            zlib.crc32(f"{member.id} {member.up_since_ms}".encode()),
+        )
 
     # --- decisions ---
 
@@ -369,16 +427,25 @@
         call = self.calls.get(ended.request)
         log.info(
             "room for call %s at %s: %s after %.0f ms, %.0f ms from the start expected at first",
-            call.id if call is not None else ended.request, self.worker_names[ended.worker], ended.why,
-            ended.held_ns / MS, ended.late_ns / MS)
+            call.id if call is not None else ended.request,
+            self.worker_names[ended.worker],
+            ended.why,
+            ended.held_ns / MS,
+            ended.late_ns / MS,
+        )
 
     def _send(self, action: api.Send) -> None:
         now_ns = time.monotonic_ns()
         call = self.calls.get(action.request)
         number = call.sends if call is not None else 0
         name = self.worker_names[action.worker]
-        if (call is None or not call.open or now_ns >= call.deadline_ns
-                or number >= call.most or (call.id, name) in self.at_worker):
+        if (
+            call is None
+            or not call.open
+            or now_ns >= call.deadline_ns
+            or number >= call.most
+            or (call.id, name) in self.at_worker
+        ):
             if call is not None:
                 call.sends += 1
             self.counters.add("attempts_moot")
--- a/weldquay/net/lines.py
+++ b/weldquay/net/lines.py
@@ -46,5 +46,8 @@
     @staticmethod
     def _whole(line: bytearray) -> bool:
         """True for a value on one line: told by counts, as looking at each mark of a long list costs ms."""
-        return line.startswith(b"{") and line.endswith(b"}") and (
-            line.count(b"{") == line.count(b"}") and line.count(b"[") == line.count(b"]"))
+        return (
+            line.startswith(b"{")
+            and line.endswith(b"}")
+            and (line.count(b"{") == line.count(b"}") and line.count(b"[") == line.count(b"]"))
+        )
--- a/weldquay/net/messages.py
+++ b/weldquay/net/messages.py
@@ -27,7 +27,9 @@
 Body = memoryview | bytearray | bytes
 
 _STATES = {
-    "SERVING": api.WorkerState.READY, "DRAINING": api.WorkerState.DRAINING, "DELETED": api.WorkerState.GONE,
+    "SERVING": api.WorkerState.READY,
+    "DRAINING": api.WorkerState.DRAINING,
+    "DELETED": api.WorkerState.GONE,
 }
 
 
@@ -110,7 +112,8 @@
 
 
 _OPERATOR_CALLS = {
-    (b"GET", b"ready"): "ready", (b"POST", b"out-of-service"): "out-of-service",
+    (b"GET", b"ready"): "ready",
+    (b"POST", b"out-of-service"): "out-of-service",
     (b"POST", b"in-service"): "in-service",
 }
 
@@ -144,15 +147,22 @@
 def last_answer(status: int, body: bytes, head: bool = False) -> bytes:
     """A whole answer after which the connection closes; the answer to HEAD goes without its body."""
     return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s" % (
-        status, HTTPStatus(status).phrase.encode(), len(body), b"" if head else body)
+        status,
+        HTTPStatus(status).phrase.encode(),
+        len(body),
+        b"" if head else body,
+    )
 
 
 def request_again(request: h11.Request, body: bytes, left_ns: int) -> bytes:
     """The bytes of a request that was read, with its body as one piece and the time that is left."""
     told = {b"x-time-left-ms": b"%d" % max(0, left_ns // MS), b"content-length": b"%d" % len(body)}
     lines = [b"%s %s HTTP/%s" % (request.method, request.target, request.http_version)]
-    lines += [b"%s: %s" % (name, value) for name, value in request.headers
-              if name not in told and name not in (b"transfer-encoding", b"expect")]
+    lines += [
+        b"%s: %s" % (name, value)
+        for name, value in request.headers
+        if name not in told and name not in (b"transfer-encoding", b"expect")
+    ]
     lines += [b"%s: %s" % pair for pair in told.items()]
     return b"\r\n".join([*lines, b"", body])
 
@@ -318,24 +328,41 @@
     if not all(isinstance(value, int | float) and math.isfinite(value) for value in (cell, weight, since)):
         raise MessageError("cell, size or up_since_ms is no figure")
     return Member(
-        _string(told, "id"), host.strip("[]"), int(port), str(told.get("locality", "")),
-        str(told.get("flavor", "")), int(cell), state, float(weight), int(since))
+        _string(told, "id"),
+        host.strip("[]"),
+        int(port),
+        str(told.get("locality", "")),
+        str(told.get("flavor", "")),
+        int(cell),
+        state,
+        float(weight),
+        int(since),
+    )
 
 
 def member_line(member: Member) -> dict[str, Any]:
     """A member in discovery's form."""
     phases = {state: phase for phase, state in _STATES.items()}
     return {
-        "id": member.id, "host_port": f"{member.host}:{member.port}", "locality": member.zone,
-        "flavor": member.kind, "cell": member.cell, "phase": phases[member.state], "size": member.weight,
-        "up_since_ms": member.up_since_ms}
+        "id": member.id,
+        "host_port": f"{member.host}:{member.port}",
+        "locality": member.zone,
+        "flavor": member.kind,
+        "cell": member.cell,
+        "phase": phases[member.state],
+        "size": member.weight,
+        "up_since_ms": member.up_since_ms,
+    }
 
 
 def job_headers(call: str, job: Job, time_left_ns: int, host: str) -> list[tuple[bytes, bytes]]:
     """The headers of a job on its way to a worker."""
     headers = [
-        (b"Host", host.encode()), (b"X-Correlation-Id", call.encode()),
-        (b"X-Time-Left-Ms", b"%d" % max(0, time_left_ns // MS)), (b"Content-Length", b"%d" % len(job.body))]
+        (b"Host", host.encode()),
+        (b"X-Correlation-Id", call.encode()),
+        (b"X-Time-Left-Ms", b"%d" % max(0, time_left_ns // MS)),
+        (b"Content-Length", b"%d" % len(job.body)),
+    ]
     if job.content_type is not None:
         headers.append((b"Content-Type", job.content_type))
     if job.key is not None:
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -73,7 +73,8 @@
             family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
             sock = socket.create_server(self.address, family=family)
             self.server = await asyncio.start_server(
-                self._accept, sock=sock, limit=READ_SIZE, backlog=MOST_CALLERS)
+                self._accept, sock=sock, limit=READ_SIZE, backlog=MOST_CALLERS
+            )
             sock.listen(WAITING)  # asyncio takes as many in one turn as its backlog says
 
     @property
--- a/weldquay/net/outgoing.py
+++ b/weldquay/net/outgoing.py
@@ -50,8 +50,10 @@
         self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: Body = b""
     ) -> Reply:
         """Send a request and read its answer."""
-        parts = self.http.send_with_data_passthrough(
-            h11.Request(method=method, target=target, headers=headers)) or []
+        parts = (
+            self.http.send_with_data_passthrough(h11.Request(method=method, target=target, headers=headers))
+            or []
+        )
         if body:
             # h11 passes on what has a length; only its annotation is narrower.
             parts += self.http.send_with_data_passthrough(h11.Data(data=body)) or []  # type: ignore[arg-type]
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -131,8 +131,9 @@
         # Revisions of another discovery count otherwise: from 0 on it tells the whole list.
         revision = told["revision"] if told["discovery"] == list(self.config.discovery) else 0
         lines = [line for message in self.inherited for line in message.told["members"]]
-        self.config = replace(self.config, known=member_list(
-            {"revision": revision, "complete": True, "members": lines}))
+        self.config = replace(
+            self.config, known=member_list({"revision": revision, "complete": True, "members": lines})
+        )
         self.registry.revision = revision
         self.exchange.config = self.config
 
@@ -162,10 +163,15 @@
         members = self.workers.members()
         for at in range(0, len(members), IDS) if self.exchange.listed else ():
             self.handover.send(
-                "members", revision=self.registry.revision, discovery=self.registry.config.discovery,
-                members=[member_line(each) for each in members[at:at + IDS]])
-        told = {"bans": sorted(self.exchange.bans),
-                "out_since": self.out_since if self.phase is Phase.OUT_OF_SERVICE else None}
+                "members",
+                revision=self.registry.revision,
+                discovery=self.registry.config.discovery,
+                members=[member_line(each) for each in members[at : at + IDS]],
+            )
+        told = {
+            "bans": sorted(self.exchange.bans),
+            "out_since": self.out_since if self.phase is Phase.OUT_OF_SERVICE else None,
+        }
         return os.dup(self.acceptor.listener.fileno()), told
 
     def hand_over(self) -> None:
@@ -179,14 +185,15 @@
             self.handover.send("worker", id=worker_id, memory=told, at=self.workers.address(worker_id))
         ids = list(self.acceptor.in_hand)
         for at in range(0, len(ids), IDS):
-            self.handover.send("open", ids=ids[at:at + IDS])
+            self.handover.send("open", ids=ids[at : at + IDS])
         self.handover.send("held", clients=len(self.acceptor.connections))
         self.acceptor.hand_over(self._pass_client)
         self.tasks.start(self._tell_held(), "telling of the connections that are left")
 
     def _pass_client(self, passed: Passed) -> None:
         self.handover.send(
-            "client", passed.ahead, passed.file, resting=passed.resting, since=passed.since, call=passed.call)
+            "client", passed.ahead, passed.file, resting=passed.resting, since=passed.since, call=passed.call
+        )
 
     async def _tell_held(self) -> None:
         """Tell the newer process how many connections it has to leave room for."""
--- a/weldquay/net/registry.py
+++ b/weldquay/net/registry.py
@@ -117,17 +117,27 @@
             raise NotReached(answer_s, answered=False) from None
         try:
             http = h11.Connection(h11.CLIENT)
-            writer.write(http.send(h11.Request(
-                method=b"GET", target=watch_target(self.revision),
-                headers=[(b"Host", f"{host}:{port}".encode())])) or b"")
+            writer.write(
+                http.send(
+                    h11.Request(
+                        method=b"GET",
+                        target=watch_target(self.revision),
+                        headers=[(b"Host", f"{host}:{port}".encode())],
+                    )
+                )
+                or b""
+            )
             writer.write(http.send(h11.EndOfMessage()) or b"")
             values, answered, late = Values(), False, False
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
                     now = time.monotonic()
-                    patience_s = min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now) if answered else (
-                        self.asked + answer_s - now)
+                    patience_s = (
+                        min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now)
+                        if answered
+                        else (self.asked + answer_s - now)
+                    )
                     if patience_s <= 0 and late:
                         raise DiscoverySilent(now - self.whole_at, answered)
                     late = patience_s <= 0
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -111,6 +111,7 @@
         def done(ended: asyncio.Task[None]) -> None:
             if worker.giving_up.get(call) is ended:
                 del worker.giving_up[call]
+
         task.add_done_callback(done)
 
     def ban(self, worker_id: str, on: bool) -> None:
@@ -128,7 +129,8 @@
     def is_telling(self, call: Call) -> bool:
         """True while a worker is being sent a call, or told that nobody waits for it."""
         return any(each.call is call for each in self.sending) or any(
-            call.id in worker.giving_up for worker in self.known.values())
+            call.id in worker.giving_up for worker in self.known.values()
+        )
 
     def members(self) -> list[Member]:
         """The workers that the list names."""
@@ -166,8 +168,11 @@
         # the settings allow no second copy that holds for all workers: a reset may have taken back a 202, and
         # the job runs on until the DELETE has come.
         several = self.config.settings.may_duplicate
-        if earlier := {task for each in ((worker,) if several else self.known.values())
-                       if (task := each.giving_up.get(attempt.call.id)) is not None}:
+        if earlier := {
+            task
+            for each in ((worker,) if several else self.known.values())
+            if (task := each.giving_up.get(attempt.call.id)) is not None
+        }:
             await asyncio.wait(earlier)
         job = attempt.call.payload
         assert isinstance(job, Job)
@@ -237,8 +242,13 @@
         self.exchange.probe_ended(worker.member.id, outcome, time.monotonic_ns() - started_ns, load)
 
     async def _ask(
-        self, worker: Worker, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
-        body: Body = b"", attempt: Attempt | None = None,
+        self,
+        worker: Worker,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: Body = b"",
+        attempt: Attempt | None = None,
     ) -> Reply:
         """One request on an idle connection, or on a new one.
 
@@ -273,9 +283,12 @@
         has gone, the time for a repeat is over.
         """
         return (
-            attempt.call.open and not attempt.ended and not worker.banned
+            attempt.call.open
+            and not attempt.ended
+            and not worker.banned
             and worker.member.state is api.WorkerState.READY
-            and not 0 < attempt.begin_by_ns < time.monotonic_ns())
+            and not 0 < attempt.begin_by_ns < time.monotonic_ns()
+        )
 
     def _idle(self, worker: Worker) -> Connection | None:
         """An idle connection that may be used again, the last used first."""
--- a/weldquay/planning/figures.py
+++ b/weldquay/planning/figures.py
@@ -23,23 +23,25 @@
     """When room is held, and how much.  Each key may be left out."""
 
     on: Annotated[bool, Meta(description="true or false")] = True
-    least_slots: Annotated[
-        float, Meta(ge=2, le=1024, description="a number of slots from 2 to 1024")] = 2.0
+    least_slots: Annotated[float, Meta(ge=2, le=1024, description="a number of slots from 2 to 1024")] = 2.0
     most_held: Annotated[
-        float, Meta(gt=0, le=0.5, description="a part of the workers above 0, at most 0.5")] = 0.34
+        float, Meta(gt=0, le=0.5, description="a part of the workers above 0, at most 0.5")
+    ] = 0.34
     most_holds: Annotated[int, Meta(ge=1, le=256, description="a whole number from 1 to 256")] = 16
-    hint_margin: Annotated[
-        float, Meta(ge=1, le=10, description="a factor from 1 to 10")] = 1.25
+    hint_margin: Annotated[float, Meta(ge=1, le=10, description="a factor from 1 to 10")] = 1.25
     slip: Annotated[
-        float, Meta(gt=0, le=10, description="a part of the job's running time above 0, at most 10")] = 3.0
+        float, Meta(gt=0, le=10, description="a part of the job's running time above 0, at most 10")
+    ] = 3.0
     queue_part: Annotated[
-        float, Meta(ge=0, le=10, description="a part of the job's running time from 0 to 10")] = 1.0
-    worth_margin: Annotated[
-        float, Meta(ge=0, le=100, description="a factor from 0 to 100")] = 2.0
+        float, Meta(ge=0, le=10, description="a part of the job's running time from 0 to 10")
+    ] = 1.0
+    worth_margin: Annotated[float, Meta(ge=0, le=100, description="a factor from 0 to 100")] = 2.0
     most_hint_error: Annotated[
-        float, Meta(ge=0.1, le=5, description="a mean error in natural logarithms from 0.1 to 5")] = 1.0
+        float, Meta(ge=0.1, le=5, description="a mean error in natural logarithms from 0.1 to 5")
+    ] = 1.0
     most_waiting: Annotated[
-        float, Meta(gt=0, le=1000, description="jobs in hand without room for each worker, above 0")] = 4.0
+        float, Meta(gt=0, le=1000, description="jobs in hand without room for each worker, above 0")
+    ] = 4.0
 
 
 def read(path: Path) -> Figures:
@@ -77,5 +79,6 @@
         except msgspec.ValidationError:
             right = known[key].__metadata__[0].description
             raise FiguresError(
-                f"{name}: {key} is {msgspec.json.encode(value).decode()}: write {right}") from None
+                f"{name}: {key} is {msgspec.json.encode(value).decode()}: write {right}"
+            ) from None
     return msgspec.convert(told, Figures)
--- a/weldquay/planning/planner.py
+++ b/weldquay/planning/planner.py
@@ -120,7 +120,13 @@
     # --- holds ---
 
     def seek(
-        self, now_ns: int, want: Want, offers: Iterable[Offer], fleet: int, busy: float, waiting: int,
+        self,
+        now_ns: int,
+        want: Want,
+        offers: Iterable[Offer],
+        fleet: int,
+        busy: float,
+        waiting: int,
     ) -> int | None:
         """Seek room for a job that found none: the worker whose queue it is to join, or None, and it waits.
 
@@ -201,13 +207,28 @@
             self._end(now_ns, other, "outbid")
         at_ns, run_ns = now_ns + start.at_ns, offer.run_ns
         hold = Hold(
-            want.request, offer.worker, want.slots, want.memory, want.worth, now_ns, at_ns, at_ns,
-            now_ns + want.end_ns, run_ns)
+            want.request,
+            offer.worker,
+            want.slots,
+            want.memory,
+            want.worth,
+            now_ns,
+            at_ns,
+            at_ns,
+            now_ns + want.end_ns,
+            run_ns,
+        )
         self.by_job[hold.request] = self.by_worker[hold.worker] = hold
         self.counts["made"] += 1
 
     def admits(
-        self, now_ns: int, request: int, slots: float, memory: float, run_ns: float, worker: int,
+        self,
+        now_ns: int,
+        request: int,
+        slots: float,
+        memory: float,
+        run_ns: float,
+        worker: int,
         table: Callable[[], Timetable],
     ) -> bool:
         """True where a job may go to a worker: no other holds room there, or that starts no later for it."""
@@ -241,5 +262,6 @@
         if hold is not None:
             del self.by_job[hold.request], self.by_worker[hold.worker]
             self.counts[f"ended_{why}"] += 1
-            self.fates.append(Fate(
-                hold.request, hold.worker, why, now_ns - hold.made_ns, int(now_ns - hold.first_ns)))
+            self.fates.append(
+                Fate(hold.request, hold.worker, why, now_ns - hold.made_ns, int(now_ns - hold.first_ns))
+            )
--- a/weldquay/planning/timetable.py
+++ b/weldquay/planning/timetable.py
@@ -60,7 +60,11 @@
     """One worker's slots and memory from now on, its queue served in order."""
 
     def __init__(
-        self, slots: float, memory: float, running: Sequence[Running], waiting: Sequence[Waiting] = (),
+        self,
+        slots: float,
+        memory: float,
+        running: Sequence[Running],
+        waiting: Sequence[Waiting] = (),
     ) -> None:
         self.slots, self.memory = slots, memory
         self.running, self.waiting = running, waiting
@@ -108,19 +112,27 @@
 
 
 def seen(
-    slots: float, own: Sequence[Own], used: float, used_memory: float, mean_ns: float,
+    slots: float,
+    own: Sequence[Own],
+    used: float,
+    used_memory: float,
+    mean_ns: float,
 ) -> Timetable:
     """A worker's timetable from what its dispatcher sees.
 
     used, used_memory: what all jobs hold by the worker's own figures and what was sent since, those that wait
     included; mean_ns: the usual running time there.  What is not the own attempts' is others'.
     """
-    running = [Running(left_ns(each.run_ns, each.age_ns), each.slots, each.memory)
-               for each in own if each.age_ns >= 0]
+    running = [
+        Running(left_ns(each.run_ns, each.age_ns), each.slots, each.memory)
+        for each in own
+        if each.age_ns >= 0
+    ]
     waiting = [Waiting(each.run_ns, each.slots, each.memory) for each in own if each.age_ns < 0]
     theirs = max(0, round(used - sum(each.slots for each in own)))
     their_memory = max(0.0, used_memory - sum(each.memory for each in own)) / max(1, theirs)
     fit = min(theirs, max(0, round(slots - sum(each.slots for each in running))))
     running += others(fit, mean_ns, their_memory)
-    return Timetable(slots, slots, running, [
-        *[Waiting(mean_ns, 1.0, their_memory)] * (theirs - fit), *waiting])
+    return Timetable(
+        slots, slots, running, [*[Waiting(mean_ns, 1.0, their_memory)] * (theirs - fit), *waiting]
+    )
--- a/weldquay/settings.py
+++ b/weldquay/settings.py
@@ -102,15 +102,21 @@
             raise ValueError(f"setting {at}effect is unknown: {effect!r}")
         if group not in _GROUPS:
             raise ValueError(f"setting {at}group is unknown: {group!r}")
-        classes.append(api.JobClass(
-            aim_ns=pairs.whole(at + "aim_ns"), give_up_ns=pairs.whole(at + "give_up_ns"),
-            effect=_EFFECTS[effect], group=_GROUPS[group], window_ns=pairs.whole(at + "window_ns", 0),
-            worth=pairs.real(at + "worth", 1.0), late_value=pairs.real(at + "late_value", 0.0),
-            stretch=pairs.real(at + "aim_stretch", 0.0) + (
-                _listed("family_info.class_stretch", stretches, number, 0.0)),
-            kind=int(_listed("family_info.class_kind", kinds, number, -1)),
-            stream=pairs.flag(at + "stream"),
-        ))
+        classes.append(
+            api.JobClass(
+                aim_ns=pairs.whole(at + "aim_ns"),
+                give_up_ns=pairs.whole(at + "give_up_ns"),
+                effect=_EFFECTS[effect],
+                group=_GROUPS[group],
+                window_ns=pairs.whole(at + "window_ns", 0),
+                worth=pairs.real(at + "worth", 1.0),
+                late_value=pairs.real(at + "late_value", 0.0),
+                stretch=pairs.real(at + "aim_stretch", 0.0)
+                + (_listed("family_info.class_stretch", stretches, number, 0.0)),
+                kind=int(_listed("family_info.class_kind", kinds, number, -1)),
+                stream=pairs.flag(at + "stream"),
+            )
+        )
     return _settings(pairs, tuple(classes)), _field_names(pairs)
 
 
@@ -128,8 +134,12 @@
     if any(not math.isfinite(value) or value < 0.0 for value in values.values()):
         return None
     return api.LoadReport(
-        values.get("free_slots"), values.get("free_memory"), values.get("busy_reqs"), values.get("pending"),
-        values.get("cpu_share"), values.get("svc_ms"),
+        values.get("free_slots"),
+        values.get("free_memory"),
+        values.get("busy_reqs"),
+        values.get("pending"),
+        values.get("cpu_share"),
+        values.get("svc_ms"),
     )
 
 
@@ -154,26 +164,33 @@
     dispatchers, me = _place(pairs)
     return api.Settings(
         classes=classes,
-        dispatchers=dispatchers, me=me,
+        dispatchers=dispatchers,
+        me=me,
         zone=pairs.whole("zone", 0),
         tick_ns=pairs.whole("granularity_ns", 1_000_000),
         asks_list=pairs.text("discovery", "push") == "ask",
         ask_within_ns=pairs.whole("safety.ask_within_ns", 10_000_000_000),
-        may_cancel=pairs.flag("caps.cancel"), may_probe=pairs.flag("caps.probes"),
-        may_tell=pairs.flag("caps.peers"), may_duplicate=pairs.flag("caps.may_duplicate"),
+        may_cancel=pairs.flag("caps.cancel"),
+        may_probe=pairs.flag("caps.probes"),
+        may_tell=pairs.flag("caps.peers"),
+        may_duplicate=pairs.flag("caps.may_duplicate"),
         max_attempts=max(1, pairs.whole("caps.max_attempts", 1)),
         max_retry_after_ns=(
-            pairs.whole("caps.max_retry_after_ns", 0) if pairs.flag("caps.retry_after") else 0),
+            pairs.whole("caps.max_retry_after_ns", 0) if pairs.flag("caps.retry_after") else 0
+        ),
         progress_ns=pairs.whole("family_info.progress_ns", 0),
         conn_idle_ns=pairs.whole("caps.conn_idle_ns", 15_000_000_000),
         tells_start=pairs.flag("family_info.tells_start"),
         queue_in_order=pairs.text("family_info.queue_order", "") == "fifo",
-        reports_in_answers=via == "inline", reports_in_probes=via in ("inline", "on_probe"),
+        reports_in_answers=via == "inline",
+        reports_in_probes=via in ("inline", "on_probe"),
         worth_by_work=pairs.text("worth_by", "request") == "work",
-        cold_share=pairs.real("safety.cold_share"), warm_after_ns=pairs.whole("safety.warm_after_ns"),
+        cold_share=pairs.real("safety.cold_share"),
+        warm_after_ns=pairs.whole("safety.warm_after_ns"),
         fall_multiple=pairs.real("safety.fall_multiple"),
         overload_for_ns=pairs.whole("safety.overload_for_ns"),
-        probe_price=pairs.real("tariffs.probe", 0.0), cross_zone_price=pairs.real("tariffs.cross_zone", 0.0),
+        probe_price=pairs.real("tariffs.probe", 0.0),
+        cross_zone_price=pairs.real("tariffs.cross_zone", 0.0),
         handshake_price=pairs.real("tariffs.handshake", 0.0),
         waste_price=pairs.real("tariffs.waste", 0.0),
     )
--- a/weldquay/wire.py
+++ b/weldquay/wire.py
@@ -14,8 +14,14 @@
 REPLY_HEADER = struct.Struct("<I")
 
 _OUTCOMES = {
-    10: api.Outcome.OK, 20: api.Outcome.ERROR, 30: api.Outcome.FULL, 40: api.Outcome.TIMEOUT,
-    50: api.Outcome.CONNECT_FAILED, 60: api.Outcome.RESET, 70: api.Outcome.CANCELLED, 80: api.Outcome.MOOT,
+    10: api.Outcome.OK,
+    20: api.Outcome.ERROR,
+    30: api.Outcome.FULL,
+    40: api.Outcome.TIMEOUT,
+    50: api.Outcome.CONNECT_FAILED,
+    60: api.Outcome.RESET,
+    70: api.Outcome.CANCELLED,
+    80: api.Outcome.MOOT,
 }
 _STATES = {0: api.WorkerState.GONE, 1: api.WorkerState.READY, 2: api.WorkerState.DRAINING}
 _LISTS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
@@ -77,7 +83,7 @@
         if self.at + count > len(self.body):
             raise WireError(f"record {self.record}: {count} bytes run past the frame at byte {self.at}")
         self.at += count
-        return self.body[self.at - count:self.at]
+        return self.body[self.at - count : self.at]
 
 
 def _report(reader: _Reader, count: int, fields: tuple[str, ...]) -> api.LoadReport | None:
@@ -120,7 +126,13 @@
     if code == 257:
         call, kind, _tenant, key, left, hint, slots, memory, flags = reader.take(_REQUEST)
         return api.Request(
-            call, kind, left, float(slots), float(memory), hint if flags & _HINT_VALID else None, key,
+            call,
+            kind,
+            left,
+            float(slots),
+            float(memory),
+            hint if flags & _HINT_VALID else None,
+            key,
             bool(flags & _REPEAT),
         )
     if code == 260:
