--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from weldquay import interface as api
-from weldquay.fleet.pace import Backoff
+from weldquay.discovery.backoff import Backoff
 from weldquay.fleet.subset import LEAST, SHARERS, subset
 from weldquay.policy.dispatcher import Dispatcher
 from tests.helpers import MS, SECOND, settings
@@ -74,15 +74,15 @@
 def test_one_dispatcher_asks_at_once_and_again_within_a_second() -> None:
     """Alone it disturbs nobody."""
     backoff = Backoff(random.Random(1), 1)
-    assert backoff.first_ns(0) == 0
-    assert 0 <= backoff.wait_ns(0, 10 * SECOND) <= SECOND
+    assert backoff.initial_delay_ns(0) == 0
+    assert 0 <= backoff.retry_delay_ns(0, 10 * SECOND) <= SECOND
 
 
 @given(st.integers(1, 64), st.integers(0, 2**32))
 def test_waits_stay_within_what_the_rule_allows(dispatchers: int, seed: int) -> None:
     """However often it fails."""
     backoff = Backoff(random.Random(seed), dispatchers)
-    assert all(0 <= backoff.wait_ns(0, 10 * SECOND) <= 10 * SECOND for _ in range(40))
+    assert all(0 <= backoff.retry_delay_ns(0, 10 * SECOND) <= 10 * SECOND for _ in range(40))
 
 
 @pytest.mark.parametrize(("dispatchers", "workers"), [(1, 5), (3, 12), (5, 17), (40, 60), (40, 24), (64, 7)])
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -17,8 +17,8 @@
 from tests.site import Site, site, until
 from tests.test_registry import HEAD, listed
 from weldquay import interface as api
-from weldquay.fleet import pace
-from weldquay.fleet.pace import Backoff
+from weldquay.discovery import backoff as backoff_module
+from weldquay.discovery.backoff import Backoff
 from weldquay.net import registry
 
 PAGE = Path(__file__).parents[1] / "docs" / "design" / "discovery.md"
@@ -49,9 +49,9 @@
     """The longest wait after a failure, in seconds."""
     backoff = Backoff(Longest(), dispatchers)
     if failure not in FAILURES:
-        return backoff.first_ns(100 * SECOND) / 1e9
+        return backoff.initial_delay_ns(100 * SECOND) / 1e9
     detect_s, how = FAILURES[failure]
-    return backoff.wait_ns(100 * SECOND, 10 * SECOND, int(detect_s * SECOND), how) / 1e9
+    return backoff.retry_delay_ns(100 * SECOND, 10 * SECOND, int(detect_s * SECOND), how) / 1e9
 
 
 def rows() -> list[list[str]]:
@@ -67,10 +67,10 @@
     assert float(detect) == pytest.approx(FAILURES.get(failure, (0.0, ENDED))[0])
     assert float(few) == pytest.approx(longest_s(3, failure), abs=0.05)
     assert float(many) == pytest.approx(longest_s(200, failure), abs=0.05)
-    assert float(queue) == pace.QUEUE_NS / 1e9 < registry.ANSWER_S
-    assert float(apply) == pace.MARGIN_NS / 1e9
+    assert float(queue) == backoff_module.QUEUE_NS / 1e9 < registry.ANSWER_S
+    assert float(apply) == backoff_module.MARGIN_NS / 1e9
     parts = [float(part) for part in (detect, many, queue, apply)]
-    assert sum(parts) == pytest.approx(float(total)) and float(total) <= pace.CLOCK_NS / 1e9
+    assert sum(parts) == pytest.approx(float(total)) and float(total) <= backoff_module.CLOCK_NS / 1e9
 
 
 def test_the_page_names_every_failure() -> None:
@@ -86,8 +86,8 @@
         for _ in range(30):
             detect_s, how = draw.choice(list(FAILURES.values()))
             now_ns += int(detect_s * SECOND)
-            wait_ns = backoff.wait_ns(now_ns, 10 * SECOND, int(detect_s * SECOND), how)
-            assert wait_ns + pace.QUEUE_NS + pace.MARGIN_NS <= pace.CLOCK_NS
+            wait_ns = backoff.retry_delay_ns(now_ns, 10 * SECOND, int(detect_s * SECOND), how)
+            assert wait_ns + backoff_module.QUEUE_NS + backoff_module.MARGIN_NS <= backoff_module.CLOCK_NS
             now_ns += wait_ns
 
 
@@ -179,16 +179,16 @@
 def hurry(monkeypatch: pytest.MonkeyPatch) -> None:
     """All clocks at a tenth."""
     for name in (
-        "FIRST_NS",
-        "SPACE_NS",
-        "START_NS",
+        "MIN_REFUSED_BOUND_NS",
+        "REFUSED_INTERVAL_NS",
+        "CALL_INTERVAL_NS",
         "CLOCK_NS",
         "QUEUE_NS",
         "MARGIN_NS",
-        "MOST_NS",
-        "SOON_NS",
+        "MAX_DELAY_NS",
+        "MIN_DELAY_NS",
     ):
-        monkeypatch.setattr(pace, name, getattr(pace, name) // 10)
+        monkeypatch.setattr(backoff_module, name, getattr(backoff_module, name) // 10)
     for name in ("BEAT_S", "LATE_S", "ANSWER_S", "VALUE_S", "BUSY_S"):
         monkeypatch.setattr(registry, name, getattr(registry, name) / 10)
 
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -12,7 +12,7 @@
 from tests.site import site, until
 from tests.test_list_clock import Failing, Manner, busy, chunk, mute, reset
 from tests.test_registry import HEAD, listed
-from weldquay.fleet.pace import Backoff
+from weldquay.discovery.backoff import Backoff
 from weldquay.net import program
 
 READY_S = 10.0  # nine in ten restarted processes
@@ -49,7 +49,7 @@
     """What a start may wait for at the most, and the first ask of the last of many dispatchers."""
     assert program.LIST_S < READY_S / 2
     for seed in range(200):
-        assert Backoff(random.Random(seed), 200).first_ns(0) <= 3.6e9
+        assert Backoff(random.Random(seed), 200).initial_delay_ns(0) <= 3.6e9
 
 
 def test_a_restart_with_an_old_list_hears_of_a_drain_in_time() -> None:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -13,8 +13,8 @@
 
 from example.toy import Message, Server
 from weldquay import interface as api
-from weldquay.fleet import pace
-from weldquay.fleet.pace import Backoff
+from weldquay.discovery import backoff as backoff_module
+from weldquay.discovery.backoff import Backoff
 from weldquay.policy.dispatcher import Dispatcher
 from weldquay.net import registry
 from weldquay.net.lines import MAX_VALUE, Values
@@ -34,7 +34,9 @@
 def test_the_spread_after_a_silence_is_what_the_clock_leaves(silent_s: float, most_s: float) -> None:
     """The whole of that is used, and no more: past the clock a new one begins."""
     waits = [
-        Backoff(random.Random(seed), FLEET).wait_ns(100 * SECOND, 10 * SECOND, int(silent_s * SECOND), ENDED)
+        Backoff(random.Random(seed), FLEET).retry_delay_ns(
+            100 * SECOND, 10 * SECOND, int(silent_s * SECOND), ENDED
+        )
         for seed in range(500)
     ]
     assert 0.9 * most_s <= max(waits) / SECOND <= most_s
@@ -44,13 +46,16 @@
     """An answer ends the clock, and what could not be reached begins it anew."""
     backoff, now_ns = Backoff(random.Random(1), FLEET), 100 * SECOND
     begun_ns = now_ns - 2600 * MS
-    backoff.wait_ns(now_ns, 10 * SECOND, 2600 * MS, ENDED)
-    assert all(backoff.wait_ns(now_ns + SECOND, 10 * SECOND, 0, ENDED) <= 200 * MS for _ in range(50))
-    backoff.wait_ns(begun_ns + 5 * SECOND, 10 * SECOND, 0, UNREACHED)
-    fresh = [backoff.wait_ns(begun_ns + 5 * SECOND, 10 * SECOND, 0, UNREACHED) for _ in range(50)]
+    backoff.retry_delay_ns(now_ns, 10 * SECOND, 2600 * MS, ENDED)
+    assert all(backoff.retry_delay_ns(now_ns + SECOND, 10 * SECOND, 0, ENDED) <= 200 * MS for _ in range(50))
+    backoff.retry_delay_ns(begun_ns + 5 * SECOND, 10 * SECOND, 0, UNREACHED)
+    fresh = [backoff.retry_delay_ns(begun_ns + 5 * SECOND, 10 * SECOND, 0, UNREACHED) for _ in range(50)]
     assert 3 * SECOND < max(fresh) <= 3600 * MS
-    backoff.clear()
-    assert max(backoff.wait_ns(begun_ns + 5 * SECOND, 10 * SECOND, 0, ENDED) for _ in range(50)) > 3 * SECOND
+    backoff.reset()
+    assert (
+        max(backoff.retry_delay_ns(begun_ns + 5 * SECOND, 10 * SECOND, 0, ENDED) for _ in range(50))
+        > 3 * SECOND
+    )
 
 
 @pytest.mark.parametrize(("dispatchers", "least_s", "most_s"), [(3, 0.0, 3.6), (200, 5.0, 10.0)])
@@ -59,16 +64,18 @@
 ) -> None:
     """From its second late failure in a row on; a few dispatchers are not what holds it up."""
     backoff = Backoff(random.Random(1), dispatchers)
-    assert backoff.wait_ns(100 * SECOND, 10 * SECOND, 2 * SECOND, BUSY) <= 3600 * MS
-    waits = [backoff.wait_ns((110 + 10 * n) * SECOND, 10 * SECOND, 2 * SECOND, BUSY) for n in range(50)]
+    assert backoff.retry_delay_ns(100 * SECOND, 10 * SECOND, 2 * SECOND, BUSY) <= 3600 * MS
+    waits = [
+        backoff.retry_delay_ns((110 + 10 * n) * SECOND, 10 * SECOND, 2 * SECOND, BUSY) for n in range(50)
+    ]
     assert least_s * SECOND <= min(waits) and max(waits) <= most_s * SECOND
 
 
 def test_an_agent_of_the_own_machine_is_asked_at_once_and_soon_again() -> None:
     """However many dispatchers there are, and however often it fails."""
     backoff = Backoff(random.Random(1), FLEET, near=True)
-    assert backoff.first_ns(SECOND) == 0
-    assert max(backoff.wait_ns(n * SECOND, 10 * SECOND, 2 * SECOND) for n in range(50)) <= 100 * MS
+    assert backoff.initial_delay_ns(SECOND) == 0
+    assert max(backoff.retry_delay_ns(n * SECOND, 10 * SECOND, 2 * SECOND) for n in range(50)) <= 100 * MS
 
 
 @pytest.mark.parametrize("work_ms", [1, 5, 10])
@@ -159,7 +166,7 @@
     """A watch is silent after 0.3 s, and what it missed counts as told after clock_ns."""
     monkeypatch.setattr(registry, "BEAT_S", 0.2)
     monkeypatch.setattr(registry, "LATE_S", 0.1)
-    monkeypatch.setattr(pace, "CLOCK_NS", clock_ns)
+    monkeypatch.setattr(backoff_module, "CLOCK_NS", clock_ns)
 
 
 def test_a_silent_watch_is_asked_anew_within_the_clock(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/weldquay/fleet/pace.py
+++ b/weldquay/discovery/backoff.py
@@ -22,19 +22,27 @@
 
 from weldquay.interface import ListFailure
 
-FIRST_NS = 1_000_000_000  # bound of the wait after a refused connection where dispatchers are few
-SPACE_NS = 200_000_000  # of that bound for each dispatcher: all of them ask ten times a second, or less
-START_NS = 40_000_000  # the same for other asks, which find no queue unless a whole fleet comes at once
+MIN_REFUSED_BOUND_NS = 1_000_000_000  # bound of the wait after a refused connection where dispatchers are few
+REFUSED_INTERVAL_NS = (
+    200_000_000  # of that bound for each dispatcher: all of them ask ten times a second, or less
+)
+CALL_INTERVAL_NS = (
+    40_000_000  # the same for other asks, which find no queue unless a whole fleet comes at once
+)
 GROWTH = 1.6  # of the bound, at each failure in a row
 CLOCK_NS = 6_000_000_000  # so long after discovery had a change and could be reached, it counts as told
 QUEUE_NS = 2_000_000_000  # a call waits so long at discovery at most, then fails
 MARGIN_NS = 400_000_000  # of the clock: a dispatcher that is behind, the way there and back
-MOST_NS = CLOCK_NS - QUEUE_NS - MARGIN_NS  # of a spread: with discovery's queue it stays within the clock
-SOON_NS = 200_000_000  # least spread of asks whose clock leaves none
-NEAR_NS = 100_000_000  # between asks of an agent that does not answer: a drain is to be kept within 250 ms
+MAX_DELAY_NS = (
+    CLOCK_NS - QUEUE_NS - MARGIN_NS
+)  # of a spread: with discovery's queue it stays within the clock
+MIN_DELAY_NS = 200_000_000  # least spread of asks whose clock leaves none
+LOCAL_AGENT_INTERVAL_NS = (
+    100_000_000  # between asks of an agent that does not answer: a drain is to be kept within 250 ms
+)
 
 
-def spread_ns(draw: random.Random, mean_ns: float) -> int:
+def jittered_delay_ns(draw: random.Random, mean_ns: float) -> int:
     """When those who are turned away are to return: honest on the mean, and not all at one moment."""
     return int(mean_ns * (0.5 + draw.random()))
 
@@ -48,20 +56,20 @@
     def __init__(self, draw: random.Random, dispatchers: int, near: bool = False) -> None:
         self.random, self.dispatchers, self.near = draw, dispatchers, near
         self.failures = 0
-        self.told_ns = 0  # when what has been missed counts as told; past: no clock runs
+        self.deadline_ns = 0  # when what has been missed counts as told; past: no clock runs
 
-    def first_ns(self, now_ns: int) -> int:
+    def initial_delay_ns(self, now_ns: int) -> int:
         """How long to wait with the first ask, which is the same moment at all where all start at once."""
         if self.near:
             return 0
-        self.told_ns = now_ns + CLOCK_NS
-        return int(self.random.random() * min(MOST_NS, START_NS * (self.dispatchers - 1)))
+        self.deadline_ns = now_ns + CLOCK_NS
+        return int(self.random.random() * min(MAX_DELAY_NS, CALL_INTERVAL_NS * (self.dispatchers - 1)))
 
-    def clear(self) -> None:
+    def reset(self) -> None:
         """An ask has succeeded."""
-        self.failures = self.told_ns = 0
+        self.failures = self.deadline_ns = 0
 
-    def wait_ns(
+    def retry_delay_ns(
         self, now_ns: int, most_ns: int, silent_ns: int = 0, failure: ListFailure = ListFailure.BUSY
     ) -> int:
         """How long to wait after a failure, most_ns at most.
@@ -69,24 +77,28 @@
         silent_ns: since the last good news, or since the call that failed.
         """
         if self.near:
-            return int(self.random.random() * NEAR_NS)
+            return int(self.random.random() * LOCAL_AGENT_INTERVAL_NS)
         growth, self.failures = GROWTH ** min(self.failures, 20), self.failures + 1
-        told_ns = now_ns - silent_ns + CLOCK_NS
-        if failure is not ListFailure.UNREACHED and self.told_ns > now_ns:
-            told_ns = min(told_ns, self.told_ns)
-        left_ns = max(SOON_NS, told_ns - MARGIN_NS - QUEUE_NS - now_ns)
-        if told_ns <= now_ns:  # it is too late for what was missed first: the next has a clock of its own
-            told_ns, left_ns = now_ns + CLOCK_NS, MOST_NS
-        self.told_ns = told_ns
-        space_ns = SPACE_NS * self.dispatchers
+        deadline_ns = now_ns - silent_ns + CLOCK_NS
+        if failure is not ListFailure.UNREACHED and self.deadline_ns > now_ns:
+            deadline_ns = min(deadline_ns, self.deadline_ns)
+        left_ns = max(MIN_DELAY_NS, deadline_ns - MARGIN_NS - QUEUE_NS - now_ns)
+        if deadline_ns <= now_ns:  # it is too late for what was missed first: the next has a clock of its own
+            deadline_ns, left_ns = now_ns + CLOCK_NS, MAX_DELAY_NS
+        self.deadline_ns = deadline_ns
+        space_ns = REFUSED_INTERVAL_NS * self.dispatchers
         if failure is ListFailure.UNREACHED:
-            bound_ns = min(left_ns, max(FIRST_NS, space_ns) * growth)
-        elif failure is ListFailure.BUSY and space_ns > MOST_NS:
+            bound_ns = min(left_ns, max(MIN_REFUSED_BOUND_NS, space_ns) * growth)
+        elif failure is ListFailure.BUSY and space_ns > MAX_DELAY_NS:
             # What keeps it from working off its queue is this very fleet, and asking sooner costs all of it
             # more time.  From the second failure on half of the wait is certain.
             if growth > 1:
-                return int((1 + self.random.random()) / 2 * min(space_ns * growth, max(FIRST_NS, most_ns)))
-            bound_ns = float(MOST_NS)
+                return int(
+                    (1 + self.random.random())
+                    / 2
+                    * min(space_ns * growth, max(MIN_REFUSED_BOUND_NS, most_ns))
+                )
+            bound_ns = float(MAX_DELAY_NS)
         else:
-            bound_ns = min(left_ns, max(SOON_NS, START_NS * self.dispatchers) * growth)
-        return int(self.random.random() * min(bound_ns, max(FIRST_NS, most_ns)))
+            bound_ns = min(left_ns, max(MIN_DELAY_NS, CALL_INTERVAL_NS * self.dispatchers) * growth)
+        return int(self.random.random() * min(bound_ns, max(MIN_REFUSED_BOUND_NS, most_ns)))
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -39,7 +39,7 @@
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
         if first and self.settings.asks_list:
-            self._ask_in(self.backoff.first_ns(now_ns) if self.ready else 0)
+            self._ask_in(self.backoff.initial_delay_ns(now_ns) if self.ready else 0)
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
         return self.out
 
--- a/weldquay/policy/jobs.py
+++ b/weldquay/policy/jobs.py
@@ -4,7 +4,7 @@
 
 import heapq
 
-from weldquay.fleet.pace import spread_ns
+from weldquay.discovery.backoff import jittered_delay_ns
 from weldquay.interface import (
     Adopted, AttemptEnded, AttemptNote, Effect, Ending, Fail, Outcome, Refuse, Request, SetTimer,
     StreamBegun, WorkerEntry, WorkerState)
@@ -72,7 +72,7 @@
             self.turned_away[like] = job.born_ns
         if len(self.turned_away) > MOST_KEPT:
             del self.turned_away[next(iter(self.turned_away))]
-        wait_ns = min(spread_ns(self.random, self.interval.ns), self.settings.max_retry_after_ns)
+        wait_ns = min(jittered_delay_ns(self.random, self.interval.ns), self.settings.max_retry_after_ns)
         self.out.append(Refuse(job.request.request, wait_ns) if harmless else Fail(job.request.request))
 
     def _end_attempt(self, event: AttemptEnded) -> None:
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -19,11 +19,11 @@
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
         if event.kind is ListKind.FAILED:
-            self._ask_in(self.backoff.wait_ns(
+            self._ask_in(self.backoff.retry_delay_ns(
                 self.now_ns, self.settings.ask_within_ns, event.silent_ns, event.failure))
             return
         if event.kind is not ListKind.CACHED:  # an ask that is still due would replace a watch that is well
-            self.backoff.clear()
+            self.backoff.reset()
             self.ask_ns = -1
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
--- a/weldquay/policy/state.py
+++ b/weldquay/policy/state.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from weldquay.fleet.pace import Backoff
+from weldquay.discovery.backoff import Backoff
 from weldquay.fleet.turns import Rule
 from weldquay.interface import Action, Settings
 from weldquay.learnt.idle import IdleLimit
