--- a/tests/test_turns.py
+++ b/tests/test_slow_start.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from weldquay import interface as api
-from weldquay.fleet.turns import Cold, Rule, rank, room
+from weldquay.fleet.slow_start import Cold, Rule, rank, room
 from weldquay.lab import load as loads
 from weldquay.lab import model
 from weldquay.lab.direct import Run, Trouble
@@ -45,7 +45,7 @@
     return max(
         (
             sum(work for at_ns, work in sent if begin_ns <= at_ns < begin_ns + RULE.window_ns)
-            / RULE.falls_ns(begin_ns, capacity, mean_ns)
+            / RULE.overload_threshold_ns(begin_ns, capacity, mean_ns)
             for begin_ns, _ in sent
         ),
         default=0.0,
--- a/weldquay/discovery/backoff.py
+++ b/weldquay/discovery/backoff.py
@@ -22,20 +22,16 @@
 
 from weldquay.interface import ListFailure
 
-MIN_REFUSED_BOUND_NS = 1_000_000_000  # bound of the wait after a refused connection where dispatchers are few
+MIN_REFUSED_BOUND_NS = 1_000_000_000  # bound of the wait after a refused connection, few dispatchers
 REFUSED_INTERVAL_NS = (
     200_000_000  # of that bound for each dispatcher: all of them ask ten times a second, or less
 )
-CALL_INTERVAL_NS = (
-    40_000_000  # the same for other asks, which find no queue unless a whole fleet comes at once
-)
+CALL_INTERVAL_NS = 40_000_000  # the same for other asks, which hardly find a queue
 GROWTH = 1.6  # of the bound, at each failure in a row
 CLOCK_NS = 6_000_000_000  # so long after discovery had a change and could be reached, it counts as told
 QUEUE_NS = 2_000_000_000  # a call waits so long at discovery at most, then fails
 MARGIN_NS = 400_000_000  # of the clock: a dispatcher that is behind, the way there and back
-MAX_DELAY_NS = (
-    CLOCK_NS - QUEUE_NS - MARGIN_NS
-)  # of a spread: with discovery's queue it stays within the clock
+MAX_DELAY_NS = CLOCK_NS - QUEUE_NS - MARGIN_NS  # of a spread: with the queue it stays within the clock
 MIN_DELAY_NS = 200_000_000  # least spread of asks whose clock leaves none
 LOCAL_AGENT_INTERVAL_NS = (
     100_000_000  # between asks of an agent that does not answer: a drain is to be kept within 250 ms
--- a/weldquay/fleet/turns.py
+++ b/weldquay/fleet/slow_start.py
@@ -22,12 +22,16 @@
 from functools import lru_cache
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
-LEAST_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
-TURN_NS = 2_000_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
-PART = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
-TURN_PART = 0.48  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
-JOB_PART = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
-MOST_OVER = 6.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
+MIN_SHARE_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
+SLOT_WORK_NS = (
+    2_000_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
+)
+BUDGET_FRACTION = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
+SLOT_FRACTION = 0.48  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
+MIN_SLOT_JOBS = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
+MAX_OVERCOMMIT = (
+    6.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
+)
 _MASK = 2**64 - 1
 _CHANCE = 0xA0761D6478BD642F  # so that it is drawn apart from the ranks
 
@@ -59,7 +63,7 @@
         """Work that the settings allow a worker of this capacity within a window, by what it can do then."""
         return self.multiple * self.share(age_ns) * capacity * max(1, self.window_ns)
 
-    def falls_ns(self, age_ns: float, capacity: float, mean_ns: float) -> float:
+    def overload_threshold_ns(self, age_ns: float, capacity: float, mean_ns: float) -> float:
         """Work that pushes it over: N + 2 sqrt(N) + 2 calls of mean work, N being what the settings allow.
 
         The users' final terms, over the sum of all processes: the rest is slack for chance, as calls come by
@@ -100,30 +104,30 @@
     """
     window_ns = max(1, rule.window_ns)
     budget_ns = rule.budget_ns(cold.age_ns, cold.capacity)
-    may_ns, since_ns = PART * budget_ns / cold.dispatchers, cold.age_ns - window_ns + 1
+    may_ns, since_ns = BUDGET_FRACTION * budget_ns / cold.dispatchers, cold.age_ns - window_ns + 1
     if cold.known_ns > max(0, since_ns):  # what its earlier process has sent in this window is not known
-        may_ns *= (1 - PART) / PART
-    if cold.number is not None and may_ns < LEAST_NS and cold.dispatchers > 1:  # a part would hold no job
-        may_ns, since_ns = _turn(rule, cold, cold.number)
+        may_ns *= (1 - BUDGET_FRACTION) / BUDGET_FRACTION
+    if cold.number is not None and may_ns < MIN_SHARE_NS and cold.dispatchers > 1:  # a part would hold no job
+        may_ns, since_ns = _time_slot(rule, cold, cold.number)
     while sent and sent[0][0] < since_ns:
         sent.popleft()
     return may_ns - sum(work_ns for _, work_ns in sent)
 
 
-def _turn(rule: Rule, cold: Cold, worker: int) -> tuple[float, int]:
+def _time_slot(rule: Rule, cold: Cold, worker: int) -> tuple[float, int]:
     """Work that the dispatcher may send in this slice, and the worker's age at the slice's begin."""
     number = max(0, cold.age_ns) // rule.slice_ns
     begin_ns = number * rule.slice_ns
     # Guards against a second use of a turn by a process that has just started, and cannot know of the first.
     if begin_ns < cold.known_ns:
         return 0.0, begin_ns
-    most_ns = rule.falls_ns(begin_ns, cold.capacity / cold.doubt, cold.mean_ns) / (SLICES + 1)
-    whole_ns = TURN_PART * most_ns
+    most_ns = rule.overload_threshold_ns(begin_ns, cold.capacity / cold.doubt, cold.mean_ns) / (SLICES + 1)
+    whole_ns = SLOT_FRACTION * most_ns
     # A turn that holds no job is of use to nobody: fewer then, some slices without any.
-    each_ns = max(whole_ns / max(1, int(whole_ns / TURN_NS)), min(most_ns, JOB_PART * cold.mean_ns))
+    each_ns = max(whole_ns / max(1, int(whole_ns / SLOT_WORK_NS)), min(most_ns, MIN_SLOT_JOBS * cold.mean_ns))
     turns = whole_ns / each_ns
     spare = cold.calls * cold.mean_ns / each_ns - cold.workers * turns / cold.dispatchers
-    over = max(1.0, min(MOST_OVER, 1 / max(spare, 1 / MOST_OVER)))
+    over = max(1.0, min(MAX_OVERCOMMIT, 1 / max(spare, 1 / MAX_OVERCOMMIT)))
     # A part of a turn is one by chance: the same at each look of this slice.
     chance = mix(mix(worker ^ _CHANCE) ^ mix(number << 32 | cold.me)) / (_MASK + 1)
     mine = rank(worker, number, cold.me, cold.dispatchers) + chance < turns * over
--- a/weldquay/fleet/subset.py
+++ b/weldquay/fleet/subset.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Sequence
 
-from weldquay.fleet.turns import mix
+from weldquay.fleet.slow_start import mix
 
 LEAST = 5  # workers in a subset: with fewer a busy dispatcher finds them all full
 SHARERS = 3  # dispatchers that a worker has at the least: a few dispatchers have all workers
--- a/weldquay/policy/cold.py
+++ b/weldquay/policy/cold.py
@@ -4,13 +4,13 @@
 
 import math
 
-from weldquay.fleet.turns import Cold, room
+from weldquay.fleet.slow_start import Cold, room
 from weldquay.ledger.records import Worker
 from weldquay.policy.times import Times
 
 
 class ColdStarts(Times):
-    """The turns of `weldquay/fleet/turns.py`, for the workers as this dispatcher knows them."""
+    """The turns of `weldquay/fleet/slow_start.py`, for the workers as this dispatcher knows them."""
 
     def _cold_room(self, worker: Worker) -> float:
         """Work that may still go to a worker: without limit once warm, else this dispatcher's part."""
--- a/weldquay/policy/state.py
+++ b/weldquay/policy/state.py
@@ -6,7 +6,7 @@
 import random
 
 from weldquay.discovery.backoff import Backoff
-from weldquay.fleet.turns import Rule
+from weldquay.fleet.slow_start import Rule
 from weldquay.interface import Action, Settings
 from weldquay.learnt.idle import IdleLimit
 from weldquay.learnt.interval import Interval
