--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -11,7 +11,7 @@
 
 from weldquay import interface as api
 from weldquay.interface import Effect, Group, Outcome
-from weldquay.learnt.running import Running
+from weldquay.estimators.runtime import Running
 from weldquay.policy.dispatcher import Dispatcher
 from tests.helpers import MS, SECOND, Drive, finals, job_class, sends, settings
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -17,7 +17,7 @@
 from weldquay.lab import load as loads
 from weldquay.lab import model
 from weldquay.lab.direct import Run, Trouble
-from weldquay.learnt.running import Running
+from weldquay.estimators.runtime import Running
 from weldquay.settings import Pairs, decode_settings
 from tests.helpers import MS, SECOND
 
--- a/weldquay/policy/state.py
+++ b/weldquay/policy/state.py
@@ -8,9 +8,9 @@
 from weldquay.discovery.backoff import Backoff
 from weldquay.fleet.slow_start import Rule
 from weldquay.interface import Action, Settings
-from weldquay.learnt.idle import IdleLimit
-from weldquay.learnt.interval import Interval
-from weldquay.learnt.running import Running
+from weldquay.estimators.idle_timeout import IdleLimit
+from weldquay.estimators.report_interval import Interval
+from weldquay.estimators.runtime import Running
 from weldquay.ledger.records import Attempt, Job, Worker
 from weldquay.planning.planner import Planner
 
