--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,7 +21,7 @@
 from weldquay.net.config import Address
 from weldquay.net.counters import Counters
 from weldquay.net.handover import Link
-from weldquay.net.kept import Kept, place
+from weldquay.net.persistence import StateFile, place
 from weldquay.net.program import Phase, Program
 
 NAME = "toy-dispatcher"
@@ -42,7 +42,7 @@
 
 
 def test_a_newer_process_takes_over_and_nothing_ends_at_the_door() -> None:
-    """Kept connections go on, calls in hand end at the older one, call-backs find their way once."""
+    """StateFile connections go on, calls in hand end at the older one, call-backs find their way once."""
 
     async def scenario() -> None:
         async with site(workers=2) as here:
@@ -334,7 +334,7 @@
         async with asyncio.timeout(20):
             older, first = await start(0)
             await until_told(first, b"is serving")
-            while not Kept(NAME, ".config").path.exists():
+            while not StateFile(NAME, ".config").path.exists():
                 await asyncio.sleep(0.01)
             path.write_text("{")
             newer, second = await start(0)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,7 +9,7 @@
 from example.toy import read_message, request
 from tests.site import job, site, until
 from weldquay.net import operators, program
-from weldquay.net.kept import Bans
+from weldquay.net.persistence import BanList
 from weldquay.net.outgoing import Connection
 from weldquay.net.workers import Worker
 
@@ -87,10 +87,10 @@
                 for number in range(4):
                     assert (await here.post(f"{phase}{number}")).body == b"TEXT"
             assert first.seen == [] and second.methods() == ["POST"] * 8
-            assert Bans("toy-dispatcher").read() == {"w0"}
+            assert BanList("toy-dispatcher").read() == {"w0"}
             second.script = second.accept
             assert await here.operate("match-workers/w0/online") == 200
-            assert Bans("toy-dispatcher").read() == set()
+            assert BanList("toy-dispatcher").read() == set()
             await here.operate("match-workers/w1/offline")
             assert (await here.post("back")).body == b"TEXT"
             assert await here.operate("match-workers/nobody/online") == 404
@@ -124,10 +124,10 @@
 
 def test_bans_are_kept_in_a_file_and_a_bad_one_is_no_more_than_logged() -> None:
     """The next process reads it; half a file, or another's, must not stop its start."""
-    bans = Bans("a/b")
+    bans = BanList("a/b")
     assert bans.read() == set()
     bans.write({"w1", "w0"})
-    assert bans.read() == {"w0", "w1"} and Bans("c").read() == set()
+    assert bans.read() == {"w0", "w1"} and BanList("c").read() == set()
     for text in ("", "{", "{}", "[1]"):
         bans.file.path.write_text(text)
         assert bans.read() == set()
--- a/weldquay/__main__.py
+++ b/weldquay/__main__.py
@@ -11,7 +11,7 @@
 
 from weldquay.net.config import ConfigError, load, load_kept
 from weldquay.net.handover import answers
-from weldquay.net.kept import Kept
+from weldquay.net.persistence import StateFile
 from weldquay.net.program import Program
 
 
@@ -31,7 +31,7 @@
     except ConfigError as error:
         # Guards against a file that is broken just when an upgrade starts.
         name = os.environ.get("GW_NAME", "")
-        older = name and answers(name) and load_kept(os.environ, Kept(name, ".config").read())
+        older = name and answers(name) and load_kept(os.environ, StateFile(name, ".config").read())
         if not older:
             print(f"weldquay: {error.advice()}", file=sys.stderr)
             return 2
--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -19,7 +19,7 @@
 import ujson
 
 from weldquay.net.counters import Counters
-from weldquay.net.kept import place
+from weldquay.net.persistence import place
 
 log = logging.getLogger(__name__)
 
--- a/weldquay/net/kept.py
+++ b/weldquay/net/persistence.py
@@ -20,7 +20,7 @@
     return Path(tempfile.gettempdir()) / f"weldquay-{quote(name, safe='')}{suffix}"
 
 
-class Kept:
+class StateFile:
     """A JSON file that is whole at every moment, since it is replaced by a rename."""
 
     def __init__(self, name: str, suffix: str) -> None:
@@ -46,11 +46,11 @@
             log.error("%s cannot be kept: %s", self.path, error)
 
 
-class Bans:
+class BanList:
     """The ids of workers that operators took out."""
 
     def __init__(self, name: str) -> None:
-        self.file = Kept(name, ".bans")
+        self.file = StateFile(name, ".bans")
 
     def read(self) -> set[str]:
         """The ids; none from a file that holds anything else."""
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -23,7 +23,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
 from weldquay.net.handover import IDS, Handover, Message
-from weldquay.net.kept import Bans, Kept
+from weldquay.net.persistence import BanList, StateFile
 from weldquay.net.messages import MessageError, callback, member_line, member_list
 from weldquay.net.operators import Operators
 from weldquay.net.registry import Registry
@@ -79,7 +79,7 @@
         self.drain_begun = asyncio.Event()
         self.reload_wanted = asyncio.Event()
         self.tasks = Tasks()
-        self.bans, self.kept = Bans(config.name), Kept(config.name, ".config")
+        self.bans, self.kept = BanList(config.name), StateFile(config.name, ".config")
         self.inherited: list[Message] = []  # the older process's list
         self.others = 0  # clients' connections at the older process
         self.before = Phase.STARTING  # the phase in which a newer process took over
