--- a/tests/site.py
+++ b/tests/site.py
@@ -139,7 +139,7 @@
             yield here
     finally:
         program.handover.stop()
-        for part in (program.tasks, program.operators, program.registry, program.acceptor, program.workers):
+        for part in (program.tasks, program.operators, program.discovery, program.acceptor, program.workers):
             await part.stop()
         for server in (listing, *fleet, *([discovery] if discovery else [])):
             server.stop()
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -59,7 +59,7 @@
 async def drained(here: Site) -> None:
     """No worker takes work: calls wait."""
     await here.discovery.change(here.workers[0], "DRAINING")
-    await until(lambda: here.program.registry.revision == here.discovery.revision)
+    await until(lambda: here.program.discovery.revision == here.discovery.revision)
 
 
 @pytest.mark.parametrize("how", ["close", "reset", "half"])
--- a/tests/test_registry.py
+++ b/tests/test_discovery_client.py
@@ -16,7 +16,7 @@
 from weldquay.discovery import backoff as backoff_module
 from weldquay.discovery.backoff import Backoff
 from weldquay.policy.dispatcher import Dispatcher
-from weldquay.net import registry
+from weldquay.net import discovery_client
 from weldquay.net.lines import MAX_VALUE, Values
 from weldquay.net.messages import MessageError
 from tests.helpers import MS, SECOND, settings
@@ -164,8 +164,8 @@
 
 def hurry(monkeypatch: pytest.MonkeyPatch, clock_ns: int) -> None:
     """A watch is silent after 0.3 s, and what it missed counts as told after clock_ns."""
-    monkeypatch.setattr(registry, "BEAT_S", 0.2)
-    monkeypatch.setattr(registry, "LATE_S", 0.1)
+    monkeypatch.setattr(discovery_client, "BEAT_S", 0.2)
+    monkeypatch.setattr(discovery_client, "LATE_S", 0.1)
     monkeypatch.setattr(backoff_module, "CLOCK_NS", clock_ns)
 
 
@@ -180,8 +180,8 @@
                 listed(7, "SERVING", here.workers[0].address),
                 listed(8, "DRAINING", here.workers[0].address),
             ]
-            here.program.registry.watch()
-            await until(lambda: here.program.registry.revision == 8)
+            here.program.discovery.watch()
+            await until(lambda: here.program.discovery.revision == 8)
             (first, first_s), (second, second_s) = muted.asked[-2:]
             assert (first[-1], second[-1]) == ("1", "7") and second_s - first_s < 2  # 0.5 s unless it stalls
             assert here.program.counters.counts["lists_silent"] == 1
@@ -199,8 +199,8 @@
         async with site(discovery=muted, group_size=FLEET) as here:
             address = here.workers[0].address
             muted.lists += [listed(7, "SERVING", address), b"", b"", b"", listed(8, "DRAINING", address)]
-            here.program.registry.watch()
-            await until(lambda: here.program.registry.revision == 8)
+            here.program.discovery.watch()
+            await until(lambda: here.program.discovery.revision == 8)
             times = [at_s for _, at_s in muted.asked[-5:]]
             assert max(after - before for before, after in pairwise(times)) < 2  # 0.5 s unless it stalls
             assert here.program.counters.counts["lists_silent"] == 4
@@ -215,7 +215,7 @@
         muted = Muted()
         muted.lists, muted.pause_s = [listed(9, "DRAINING", "127.0.0.1:1")], 0.1
         async with site(discovery=muted, discovery_mode="push") as here:
-            assert here.program.registry.revision == 9
+            assert here.program.discovery.revision == 9
             assert (await here.post(left_ms=300)).status == 503
             assert here.workers[0].methods() == []
 
@@ -232,7 +232,7 @@
             assert (await here.post()).body == b"TEXT"  # with the list that it was started with
             asked = len(muted.asked)
             muted.lists.append(listed(9, "DRAINING", here.workers[0].address))
-            await until(lambda: here.program.registry.revision == 9)
+            await until(lambda: here.program.discovery.revision == 9)
             assert len(muted.asked) - asked <= 2
             times = [at_s for _, at_s in muted.asked]
             assert max(after - before for before, after in pairwise(times)) < 2  # 0.3 s, unless this stalls
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -11,7 +11,7 @@
 
 from example.toy import Message, read_message
 from tests.site import job, site
-from tests.test_registry import Muted
+from tests.test_discovery_client import Muted
 from weldquay.net import program
 from weldquay.net.program import Phase
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -147,7 +147,7 @@
     async def scenario() -> None:
         async with site(workers=2) as here:
             await here.discovery.change(here.workers[0], "DRAINING")
-            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            await until(lambda: here.program.discovery.revision == here.discovery.revision)
             here.discovery.stop()  # the file still says that both serve
             async with newer(here) as second:
                 assert [worker.member.state.value for worker in second.workers.known.values()] == [
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -63,7 +63,7 @@
         async with site(caps={"probes": False}) as here:
             held = await repeat_waits(here)
             await here.discovery.change(here.workers[0], phase)
-            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            await until(lambda: here.program.discovery.revision == here.discovery.revision)
             held.gate.set()
             assert (await held.call).status == 503
             assert held.posts == 1
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -15,24 +15,24 @@
 from example.toy import Message, Server
 from tests.helpers import SECOND
 from tests.site import Site, site, until
-from tests.test_registry import HEAD, listed
+from tests.test_discovery_client import HEAD, listed
 from weldquay import interface as api
 from weldquay.discovery import backoff as backoff_module
 from weldquay.discovery.backoff import Backoff
-from weldquay.net import registry
+from weldquay.net import discovery_client
 
 PAGE = Path(__file__).parents[1] / "docs" / "design" / "discovery.md"
 ENDED, UNREACHED = api.ListFailure.ENDED, api.ListFailure.UNREACHED
-SILENT_S = registry.BEAT_S + registry.LATE_S
+SILENT_S = discovery_client.BEAT_S + discovery_client.LATE_S
 # By the page's name of a failure: how long until it shows, and how it is told.
 FAILURES = {
     "refused at once": (0.0, UNREACHED),
-    "connection never comes up": (registry.ANSWER_S, UNREACHED),
+    "connection never comes up": (discovery_client.ANSWER_S, UNREACHED),
     "503 or reset at once": (0.0, UNREACHED),
-    "no answer at all": (registry.ANSWER_S, ENDED),
-    "no value after its head": (registry.VALUE_S, ENDED),
+    "no answer at all": (discovery_client.ANSWER_S, ENDED),
+    "no value after its head": (discovery_client.VALUE_S, ENDED),
     "silent watch": (SILENT_S, ENDED),
-    "value that never ends": (registry.VALUE_S, ENDED),
+    "value that never ends": (discovery_client.VALUE_S, ENDED),
     "watch reset or ended": (SILENT_S, ENDED),
 }
 
@@ -67,7 +67,7 @@
     assert float(detect) == pytest.approx(FAILURES.get(failure, (0.0, ENDED))[0])
     assert float(few) == pytest.approx(longest_s(3, failure), abs=0.05)
     assert float(many) == pytest.approx(longest_s(200, failure), abs=0.05)
-    assert float(queue) == backoff_module.QUEUE_NS / 1e9 < registry.ANSWER_S
+    assert float(queue) == backoff_module.QUEUE_NS / 1e9 < discovery_client.ANSWER_S
     assert float(apply) == backoff_module.MARGIN_NS / 1e9
     parts = [float(part) for part in (detect, many, queue, apply)]
     assert sum(parts) == pytest.approx(float(total)) and float(total) <= backoff_module.CLOCK_NS / 1e9
@@ -190,12 +190,12 @@
     ):
         monkeypatch.setattr(backoff_module, name, getattr(backoff_module, name) // 10)
     for name in ("BEAT_S", "LATE_S", "ANSWER_S", "VALUE_S", "BUSY_S"):
-        monkeypatch.setattr(registry, name, getattr(registry, name) / 10)
+        monkeypatch.setattr(discovery_client, name, getattr(discovery_client, name) / 10)
 
 
 async def heeded(here: Site, failing: Failing) -> None:
     """Wait for the drain; calls find no worker then."""
-    await until(lambda: here.program.registry.revision == 9)
+    await until(lambda: here.program.discovery.revision == 9)
     assert (await here.post(left_ms=300)).status == 503 and here.workers[0].methods() == []
 
 
@@ -248,7 +248,7 @@
             failing.address_told = here.workers[0].address
             port = int(failing.address.rsplit(":", 1)[1])
             failing.stop()
-            here.program.registry.watch()
+            here.program.discovery.watch()
             await until(lambda: here.program.counters.counts["lists_failed"] >= 4)
             await failing.start(port)
             begun = time.monotonic()
@@ -271,7 +271,7 @@
             host, port = new.address.split(":")
             config = here.program.config
             moved = replace(config, discovery=type(config.discovery)(host, int(port)))
-            here.program.registry.move(moved)
+            here.program.discovery.move(moved)
             await heeded(here, new)
             begun = time.monotonic()
             await until(lambda: time.monotonic() - begun > 0.5)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -83,7 +83,7 @@
             assert await here.operate("match-workers/nobody/offline") == 404
             for phase in ("DELETED", "SERVING"):
                 await here.discovery.change(first, phase)
-                await until(lambda: here.program.registry.revision == here.discovery.revision)
+                await until(lambda: here.program.discovery.revision == here.discovery.revision)
                 for number in range(4):
                     assert (await here.post(f"{phase}{number}")).body == b"TEXT"
             assert first.seen == [] and second.methods() == ["POST"] * 8
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -11,7 +11,7 @@
 from example.toy import Message, Server
 from tests.site import site, until
 from tests.test_list_clock import Failing, Manner, busy, chunk, mute, reset
-from tests.test_registry import HEAD, listed
+from tests.test_discovery_client import HEAD, listed
 from weldquay.discovery.backoff import Backoff
 from weldquay.net import program
 
@@ -60,7 +60,7 @@
         async with site(discovery=failing, group_size=3) as here:
             failing.address_told = here.workers[0].address
             begun = time.monotonic()
-            await until(lambda: here.program.registry.revision == 9)
+            await until(lambda: here.program.discovery.revision == 9)
             assert time.monotonic() - begun < 2 and (await here.post(left_ms=300)).status == 503
 
     asyncio.run(scenario())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Script, Scripted, document, job, site, until
 from weldquay.policy import members as listed
-from weldquay.net import acceptor, connection, exchange, program, registry, workers
+from weldquay.net import acceptor, connection, exchange, program, workers
 from weldquay.net.outgoing import Connection
 from weldquay.net.workers import MOST_IDLE, Worker
 
@@ -134,7 +134,7 @@
             filling = socket.create_connection(cut_off.getsockname())
             here.discovery.members["w0"]["host_port"] = "{}:{}".format(*cut_off.getsockname())
             await here.discovery.change(here.workers[1], "SERVING")
-            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            await until(lambda: here.program.discovery.revision == here.discovery.revision)
             answers = [await here.post(f"c{number}", "/import") for number in range(4)]
             assert {answer.start.split()[1] for answer in answers} == {"200"}
             assert here.workers[1].methods() == ["POST"] * 4
@@ -291,7 +291,7 @@
     async def scenario() -> None:
         async with site(workers=2) as here:
             await here.discovery.change(here.workers[0], "DRAINING")
-            while here.program.registry.revision < here.discovery.revision:
+            while here.program.discovery.revision < here.discovery.revision:
                 await asyncio.sleep(0.01)
             for number in range(6):
                 await here.post(f"c{number}")
@@ -325,7 +325,7 @@
                 await here.discovery.tell()
             else:
                 await here.discovery.change(first, phase)
-            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            await until(lambda: here.program.discovery.revision == here.discovery.revision)
             gate.set()
             assert {(await answer).start.split()[1] for answer in answers} == {"200"}
             assert first.methods() == []
@@ -347,12 +347,12 @@
                     "phase": "SERVING",
                 }
                 await here.discovery.change(first, "SERVING")
-                await until(lambda: here.program.registry.revision == here.discovery.revision)
+                await until(lambda: here.program.discovery.revision == here.discovery.revision)
                 if number == 0:
                     assert await here.operate("match-workers/old0/offline") == 200
                 del here.discovery.members[f"old{number}"]
             await here.discovery.change(first, "SERVING")
-            await until(lambda: here.program.registry.revision == here.discovery.revision)
+            await until(lambda: here.program.discovery.revision == here.discovery.revision)
             known = here.program.workers.known, meeting.worker_numbers, meeting.dispatcher.workers
             assert all(len(each) <= 8 for each in known) and meeting.knows("old0")
             assert (await here.post()).body == b"TEXT"
@@ -446,7 +446,7 @@
             assert here.program.counters.counts["lists_failed"] >= 1
 
     for name in ("BEAT_S", "LATE_S", "ANSWER_S"):
-        monkeypatch.setattr(registry, name, 0.05)
+        monkeypatch.setattr(discovery_client, name, 0.05)
     play(scenario())
 
 
@@ -469,7 +469,7 @@
             assert (await here.post()).body == b"TEXT"
             await until(lambda: dripping.asked >= 2)
 
-    monkeypatch.setattr(registry, "VALUE_S", 0.2)
+    monkeypatch.setattr(discovery_client, "VALUE_S", 0.2)
     play(scenario())
 
 
@@ -566,9 +566,9 @@
                 here.program.reload_wanted.set()
                 while not server.writers:
                     await asyncio.sleep(0.01)
-            await until(lambda: here.program.registry.revision == 7)
+            await until(lambda: here.program.discovery.revision == 7)
             await newer.change(next(each for each in here.workers if each is not busy), "DRAINING")
-            await until(lambda: here.program.registry.revision == 8)
+            await until(lambda: here.program.discovery.revision == 8)
             assert here.program.phase is (program.Phase.DRAINING if draining else program.Phase.SERVING)
             await busy.tell("c1", state="done", result="kept")
             assert (await owed).body == b"kept"
--- a/tests/test_two_settings.py
+++ b/tests/test_two_settings.py
@@ -104,7 +104,7 @@
             ]
             assert len(offered) == 3 and policy.running.mean() == sum(offered) / 3
             assert policy.backoff.dispatchers == 20 and policy.rule.multiple == 4.5
-            assert program.registry.config is program.config
+            assert program.discovery.config is program.config
             assert (await here.post("c1", "/lookup")).status == 404
             assert (await here.post("c2", "/print")).body == b"TEXT"
 
--- a/weldquay/net/calls.py
+++ b/weldquay/net/calls.py
@@ -123,7 +123,7 @@
         """Close the idle connections to a worker."""
 
 
-class RegistrySide(Protocol):
+class DiscoverySide(Protocol):
     """What the exchange asks of the registry's side."""
 
     def watch(self) -> None:
--- a/weldquay/net/registry.py
+++ b/weldquay/net/discovery_client.py
@@ -52,8 +52,8 @@
     remedy = "see that discovery's address is right and that the network lets this machine through to it"
 
 
-class Registry:
-    """Discovery as the exchange's RegistrySide.  Every watch is answered; its end is told as a failure."""
+class DiscoveryClient:
+    """Discovery as the exchange's DiscoverySide.  Every watch is answered; its end is told as a failure."""
 
     def __init__(self, config: Config, exchange: Exchange) -> None:
         self.config, self.exchange = config, exchange
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -17,7 +17,7 @@
 from weldquay import interface as api
 from weldquay.policy.dispatcher import Dispatcher
 from weldquay.policy.members import MOST_KEPT
-from weldquay.net.calls import Answer, Attempt, Call, Failed, Overload, RegistrySide, Served, WorkerSide
+from weldquay.net.calls import Answer, Attempt, Call, Failed, Overload, DiscoverySide, Served, WorkerSide
 from weldquay.net.config import Config, numbered
 from weldquay.net.counters import Counters
 from weldquay.net.messages import CallBack, Figures, Member, MemberList
@@ -34,7 +34,7 @@
     def __init__(self, config: Config, counters: Counters) -> None:
         self.config, self.counters = config, counters
         self.workers: WorkerSide
-        self.registry: RegistrySide
+        self.discovery: DiscoverySide
         self.dispatcher = Dispatcher(config.settings, config.seed)
         self.loop = asyncio.get_running_loop()
         # Fixed for the program's life, so that one start is always the same moment to the module.
@@ -51,9 +51,9 @@
         self.listed = False  # discovery has told which workers there are
         self.zones, self.kinds = numbered(config.zones), numbered(config.kinds)
 
-    def start(self, workers: WorkerSide, registry: RegistrySide) -> None:
+    def start(self, workers: WorkerSide, discovery: DiscoverySide) -> None:
         """Begin with the list that the configuration holds."""
-        self.workers, self.registry = workers, registry
+        self.workers, self.discovery = workers, discovery
         self.follow(self.config.known, api.ListKind.CACHED)
 
     @property
@@ -413,7 +413,7 @@
             case api.CloseIdle():
                 self.workers.close_idle(self.worker_names[action.worker])
             case api.Watch():
-                self.registry.watch()
+                self.discovery.watch()
             case api.Log():
                 log.info("%s", action.text)
             case api.HoldEnded():
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -26,7 +26,7 @@
 from weldquay.net.persistence import BanList, StateFile
 from weldquay.net.messages import MessageError, callback, member_line, member_list
 from weldquay.net.operators import Operators
-from weldquay.net.registry import Registry
+from weldquay.net.discovery_client import DiscoveryClient
 from weldquay.net.tasks import Tasks
 from weldquay.net.workers import Workers
 
@@ -100,7 +100,7 @@
         exchange = Exchange(self.config, self.counters)
         self.exchange = exchange
         self.workers = Workers(self.config, self.counters, exchange)
-        self.registry = Registry(self.config, exchange)
+        self.discovery = DiscoveryClient(self.config, exchange)
         self.acceptor = Acceptor(self.config, self.counters, exchange, self.serving)
         self.operators = Operators(self.config.mgmt, self.counters, self)
         await self.operators.listen()
@@ -110,7 +110,7 @@
             self._inherit_list()
         await self.acceptor.listen(-1 if offered is None else offered.file)
         self.acceptor.pass_back = partial(self.handover.send, "call-back")
-        exchange.start(self.workers, self.registry)
+        exchange.start(self.workers, self.discovery)
         for worker_id in self.bans.read():
             exchange.ban(worker_id, True)
         self.tasks.start(self._reload(), "reloading of the configuration")
@@ -134,7 +134,7 @@
         self.config = replace(
             self.config, known=member_list({"revision": revision, "complete": True, "members": lines})
         )
-        self.registry.revision = revision
+        self.discovery.revision = revision
         self.exchange.config = self.config
 
     async def _take_over(self, offered: Message) -> None:
@@ -164,8 +164,8 @@
         for at in range(0, len(members), IDS) if self.exchange.listed else ():
             self.handover.send(
                 "members",
-                revision=self.registry.revision,
-                discovery=self.registry.config.discovery,
+                revision=self.discovery.revision,
+                discovery=self.discovery.config.discovery,
                 members=[member_line(each) for each in members[at : at + IDS]],
             )
         told = {
@@ -321,7 +321,7 @@
                     await self.handover.part()
         self._enter(Phase.STOPPING)
         await self.tasks.stop()
-        await self.registry.stop()
+        await self.discovery.stop()
         await self.operators.stop()
         now = asyncio.get_running_loop().time()
         await self.acceptor.stop(min(LINGER_S, max(0.0, last + LAST_S * 0.8 - now)))
@@ -376,7 +376,7 @@
             else:
                 self.counters.add("reloads")
                 self.kept.write(self.config.document)
-                self.registry.move(self.config)
+                self.discovery.move(self.config)
                 for part in (self.exchange, self.acceptor, self.workers):
                     part.retune(self.config)
                 if others:
