--- a/tests/site.py
+++ b/tests/site.py
@@ -72,7 +72,7 @@
 
     def __init__(self, program: Program, discovery: Discovery, workers: list[Scripted]) -> None:
         self.program, self.discovery, self.workers = program, discovery, workers
-        self.address = f"127.0.0.1:{program.acceptor.port}"
+        self.address = f"127.0.0.1:{program.server.port}"
 
     async def post(self, call: str = "c1", path: str = "/lookup/a?b=1", left_ms: int = 5000) -> Message:
         """One call, to its answer."""
@@ -139,7 +139,7 @@
             yield here
     finally:
         program.handover.stop()
-        for part in (program.tasks, program.operators, program.discovery, program.acceptor, program.workers):
+        for part in (program.tasks, program.operators, program.discovery, program.server, program.workers):
             await part.stop()
         for server in (listing, *fleet, *([discovery] if discovery else [])):
             server.stop()
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -112,7 +112,7 @@
 
 async def connect(here: Site) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A connection to the dispatcher."""
-    return await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+    return await asyncio.open_connection("127.0.0.1", here.program.server.port)
 
 
 async def in_work(here: Site) -> asyncio.Task[Message]:
@@ -157,9 +157,9 @@
             reader, writer = await connect(here)
             writer.write(data[:30])
             await until(
-                lambda: any(each.heard and each.call is None for each in here.program.acceptor.connections)
+                lambda: any(each.heard and each.call is None for each in here.program.server.connections)
             )
-            here.program.acceptor.begin_closing()
+            here.program.server.begin_closing()
             writer.write(data[30:])
             assert b"204" in await reader.read() and (await answer).body == b"late"
             writer.close()
@@ -175,13 +175,13 @@
         async with site() as here:
             worker = here.workers[0]
             worker.script = worker.telling("q" * 60_000)
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock = socket.create_connection(("127.0.0.1", here.program.server.port))
             sock.setblocking(False)
             sock.send(job(path=path))
             await asyncio.get_running_loop().sock_recv(sock, 100)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             sock.close()
-            await until(lambda: not here.program.acceptor.connections)
+            await until(lambda: not here.program.server.connections)
             assert worker.methods() == ["POST"] and not here.program.exchange.calls
             assert here.program.counters.counts["answers_served"] == 1
 
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -21,7 +21,7 @@
 
 def client(here: Site, call: str, ahead: int = 0) -> socket.socket:
     """A client with one call, and so many bytes behind it."""
-    sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+    sock = socket.create_connection(("127.0.0.1", here.program.server.port))
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1024 * 1024)
     assert sock.send(job(call) + b"x" * ahead) > ahead / 2
@@ -75,7 +75,7 @@
             await asyncio.sleep(0.05)  # what lies ahead is read, as far as it is
             leave(sock, how)
             assert await gone(here) < 1  # in 0.1 s, unless this machine stalls
-            assert here.program.acceptor.ahead == 0
+            assert here.program.server.ahead == 0
             await serve_again(here)
             assert here.workers[0].methods() == ["POST"]
             sock.close()
@@ -116,7 +116,7 @@
                 return await connect(worker)
 
             workers._connect = slow  # type: ignore[method-assign]
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock = socket.create_connection(("127.0.0.1", here.program.server.port))
             sock.sendall(job(path=path))
             await until(lambda: here.program.exchange.attempts)
             sock.close()
@@ -148,7 +148,7 @@
                 await answer(message, writer)
 
             worker.script, worker.answer = cut, held  # type: ignore[method-assign]
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock = socket.create_connection(("127.0.0.1", here.program.server.port))
             sock.sendall(job())
             await until(lambda: any(call.sends == 2 for call in here.program.exchange.calls.values()))
             sock.close()
@@ -171,10 +171,10 @@
                 await asyncio.sleep(3600)
 
             worker.script = silent
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock = socket.create_connection(("127.0.0.1", here.program.server.port))
             sock.sendall(job(path="/import"))
             await worker.until("POST")
-            here.program.acceptor.hand_over(passed.append)
+            here.program.server.hand_over(passed.append)
             await asyncio.sleep(0.05)
             sock.close()
             await gone(here)
@@ -188,7 +188,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             big = b"y" * 30_000
             for number in range(4):
                 writer.write(
@@ -218,15 +218,15 @@
                 await worker.tell(message.headers["x-correlation-id"], state="done", result="late")
 
             worker.script = later
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(job())
             await worker.until("POST")
-            connection, *_ = here.program.acceptor.connections
+            connection, *_ = here.program.server.connections
             for _ in range(32):
                 writer.write(b"z" * 100_000)
                 await writer.drain()
             await until(lambda: connection.overrun)
-            assert here.program.acceptor.ahead <= 256 * 1024
+            assert here.program.server.ahead <= 256 * 1024
             told.set()
             got = b""
             while data := await reader.read(65536):
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -36,7 +36,7 @@
 
             if worker_hangs:
                 here.workers[0].script = hang
-            port = here.program.acceptor.port
+            port = here.program.server.port
             kept = await asyncio.open_connection("127.0.0.1", port)
             begun = time.monotonic()
             ending = asyncio.create_task(here.program.finish())
@@ -70,7 +70,7 @@
 
     async def scenario() -> None:
         async with site(services=SHORT) as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             ending = asyncio.create_task(here.program.finish())
             begun = time.monotonic()
             assert await reader.read() == b""
@@ -89,7 +89,7 @@
 
     async def scenario() -> None:
         async with site(services=SHORT) as here:
-            kept = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            kept = socket.create_connection(("127.0.0.1", here.program.server.port))
             begun = time.monotonic()
             await here.program.finish()
             assert time.monotonic() - begun < KILL_S + 0.5
@@ -103,10 +103,10 @@
 
     async def scenario() -> None:
         async with site() as here:
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock = socket.create_connection(("127.0.0.1", here.program.server.port))
             sock.sendall(job())
             sock.setblocking(False)
-            await here.program.acceptor.stop()
+            await here.program.server.stop()
             got = await asyncio.get_running_loop().sock_recv(sock, 4096)
             assert got.startswith(b"HTTP/1.1 503") and b"Connection: close" in got
             sock.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -30,14 +30,14 @@
 @asynccontextmanager
 async def newer(here: Site) -> AsyncIterator[Program]:
     """A second process beside the site's, with the same addresses, another for operators."""
-    listen = Address("127.0.0.1", here.program.acceptor.port)
+    listen = Address("127.0.0.1", here.program.server.port)
     second = Program(replace(here.program.config, listen=listen))
     await second.start()
     try:
         yield second
     finally:
         second.handover.stop()
-        for part in (second.tasks, second.operators, second.registry, second.acceptor, second.workers):
+        for part in (second.tasks, second.operators, second.discovery, second.server, second.workers):
             await part.stop()
 
 
@@ -46,7 +46,7 @@
 
     async def scenario() -> None:
         async with site(workers=2) as here:
-            older, port = here.program, here.program.acceptor.port
+            older, port = here.program, here.program.server.port
             worker = here.workers[1]
             await here.operate("match-workers/w0/offline")
             resting, rested = await asyncio.open_connection("127.0.0.1", port)
@@ -60,7 +60,7 @@
             await worker.tell("c1", state="started")
             async with newer(here) as second:
                 assert second.ready() and older.phase is Phase.HANDED_OVER
-                assert second.exchange.bans == {"w0"} and second.acceptor.elsewhere == {"c1"}
+                assert second.exchange.bans == {"w0"} and second.server.elsewhere == {"c1"}
                 assert (await here.post("c1")).start.split()[1] == "409"
                 await until(lambda: second.counters.counts["client_connections"] >= 2)
                 worker.script = None
@@ -78,8 +78,8 @@
                 assert (older.counters.counts["calls"], second.counters.counts["calls"]) == (2, 3)
                 assert here.workers[0].methods() == [] and second.counters.counts["handover_worker"] == 2
                 await until(lambda: second.handover.link is None)
-                assert second.acceptor.most_connections == second.acceptor.full
-                assert not second.acceptor.elsewhere
+                assert second.server.most_connections == second.server.full
+                assert not second.server.elsewhere
                 for writer in (rested, mute, caller):
                     writer.close()
 
@@ -122,7 +122,7 @@
         async with site(workers=2, caps={"max_attempts": 2}) as here:
             for worker in here.workers:
                 worker.script = worker.accept
-            _, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            _, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(job("c1"))
             first = await until(lambda: next((each for each in here.workers if each.methods()), None))
             async with newer(here) as second:
@@ -154,7 +154,7 @@
                     "draining",
                     "ready",
                 ]
-                assert second.registry.revision == here.discovery.revision
+                assert second.discovery.revision == here.discovery.revision
                 for number in range(4):
                     assert (await here.post(f"c{number}")).body == b"TEXT"
                 assert here.workers[0].methods() == []
@@ -169,8 +169,8 @@
 
     async def scenario() -> None:
         async with site() as here:
-            here.program.acceptor.stop_accepting()
-            port = here.program.acceptor.port
+            here.program.server.stop_accepting()
+            port = here.program.server.port
             waiting = [await asyncio.open_connection("127.0.0.1", port) for _ in range(9)]
             for number, (_, writer) in enumerate(waiting):
                 writer.write(job(f"c{number}"))
@@ -191,7 +191,7 @@
     async def scenario() -> None:
         async with site() as here:
             told: list[handover.Message] = []
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(job("c0"))
             assert (await read_message(reader)).body == b"TEXT"
             for kinds, last in ((["ask"], "offer"), (["ask", "ready"], "taken")):
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -11,7 +11,7 @@
 
 from example.toy import write_message
 from tests.site import Site, job, site, until
-from weldquay.net import acceptor
+from weldquay.net import server
 from weldquay.net.connection import Connection, State
 
 BIG = "r" * 60_000  # more than the system's buffers below hold
@@ -21,7 +21,7 @@
     """A client whose system takes in little at a time."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.connect(("127.0.0.1", here.program.acceptor.port))
+    sock.connect(("127.0.0.1", here.program.server.port))
     sock.setblocking(False)
     return sock
 
@@ -29,8 +29,8 @@
 def large_results(here: Site) -> None:
     """The worker's results are large, and the system holds little of them at this end."""
     here.workers[0].script = here.workers[0].telling(BIG)
-    assert here.program.acceptor.server is not None
-    for sock in here.program.acceptor.server.sockets:
+    assert here.program.server.server is not None
+    for sock in here.program.server.server.sockets:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
 
@@ -41,7 +41,7 @@
         lambda: next(
             (
                 each
-                for each in here.program.acceptor.connections
+                for each in here.program.server.connections
                 if each.writer.get_extra_info("peername") == name
             ),
             None,
@@ -52,7 +52,7 @@
 
 async def rested(here: Site) -> tuple[socket.socket, Connection]:
     """A client whose first call was served, and the dispatcher's end of its connection."""
-    sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+    sock = socket.create_connection(("127.0.0.1", here.program.server.port))
     sock.setblocking(False)
     sock.send(job("c1"))
     await asyncio.get_running_loop().sock_recv(sock, 4096)
@@ -79,7 +79,7 @@
             large_results(here)
             sock = small(here)
             connection = await accepted(here, sock)
-            here.program.acceptor.closing = True
+            here.program.server.closing = True
             sock.send(job())
             await until(lambda: connection.leaving)
             sock.send(behind)
@@ -96,14 +96,14 @@
     half: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Longer than the close lingers, as long as it takes something; also where it has shut its own half."""
-    monkeypatch.setattr(acceptor, "LINGER_S", 0.2)
+    monkeypatch.setattr(server, "LINGER_S", 0.2)
 
     async def scenario() -> None:
         async with site() as here:
             large_results(here)
             sock = small(here)
             connection = await accepted(here, sock)
-            here.program.acceptor.closing = not half
+            here.program.server.closing = not half
             sock.send(job())
             if half:
                 await until(lambda: connection.state is State.RESTING)
@@ -119,17 +119,17 @@
 
 def test_a_client_that_reads_nothing_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
     """After the close has lingered."""
-    monkeypatch.setattr(acceptor, "LINGER_S", 0.2)
+    monkeypatch.setattr(server, "LINGER_S", 0.2)
 
     async def scenario() -> None:
         async with site() as here:
             large_results(here)
             sock = small(here)
             connection = await accepted(here, sock)
-            here.program.acceptor.closing = True
+            here.program.server.closing = True
             sock.send(job())
             await until(lambda: connection.leaving)
-            await until(lambda: not here.program.acceptor.connections)
+            await until(lambda: not here.program.server.connections)
             sock.close()
 
     asyncio.run(scenario())
@@ -141,13 +141,13 @@
     async def scenario() -> None:
         async with site() as here:
             sock, _ = await rested(here)
-            here.program.acceptor.begin_closing()
+            here.program.server.begin_closing()
             sock.send(job("c2"))
             sock.send(job("c3"))  # a reset connection would refuse this one
             assert await taken(sock) == b""
             assert not here.program.exchange.calls and here.workers[0].methods() == ["POST"]
             sock.close()
-            await until(lambda: not here.program.acceptor.connections)
+            await until(lambda: not here.program.server.connections)
 
     asyncio.run(scenario())
 
@@ -163,7 +163,7 @@
                 sock.send(job("c2"))
             else:
                 connection.reader.feed_data(job("c2"))
-            here.program.acceptor.begin_closing()
+            here.program.server.begin_closing()
             got = await taken(sock)
             assert got.startswith(b"HTTP/1.1 200") and b"Connection: close" in got and got.endswith(b"TEXT")
             sock.close()
@@ -189,16 +189,16 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(data)
             if behind:
-                await until(lambda: here.program.acceptor.among[State.LEAVING])
+                await until(lambda: here.program.server.among[State.LEAVING])
                 writer.write(b"z" * behind)
                 await writer.drain()
             got = await reader.read()
             assert got.startswith(b"HTTP/1.1 " + status)
             writer.close()
-            await until(lambda: not here.program.acceptor.connections)
+            await until(lambda: not here.program.server.connections)
 
     asyncio.run(scenario())
 
@@ -208,7 +208,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            sock = socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            sock = socket.create_connection(("127.0.0.1", here.program.server.port))
             sock.setblocking(False)
             connection = await accepted(here, sock)
             sock.send(job())
@@ -226,17 +226,17 @@
     async def scenario() -> None:
         async with site() as here:
             large_results(here)
-            slow, fresh = small(here), socket.create_connection(("127.0.0.1", here.program.acceptor.port))
+            slow, fresh = small(here), socket.create_connection(("127.0.0.1", here.program.server.port))
             fresh.setblocking(False)
             slow.send(job("c1"))
             leaving = await accepted(here, slow)
             await until(lambda: leaving.state is State.RESTING)
-            here.program.acceptor.closing = True
+            here.program.server.closing = True
             leaving.shut()
             assert leaving.leaving and leaving.pending()
-            await until(lambda: len(here.program.acceptor.connections) == 2)  # the worker's have ended
+            await until(lambda: len(here.program.server.connections) == 2)  # the worker's have ended
             fresh.send(job("c2"))
-            assert not here.program.acceptor._make_room()
+            assert not here.program.server._make_room()
             assert (await taken(slow)).count(b"r") >= len(BIG)
             got: Any = await taken(fresh)
             assert got.startswith(b"HTTP/1.1 200")
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -41,7 +41,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            worker, port = here.workers[0], here.program.acceptor.port
+            worker, port = here.workers[0], here.program.server.port
             resting, rested = await asyncio.open_connection("127.0.0.1", port)
             rested.write(job("c0"))
             await read_message(resting)
@@ -51,7 +51,7 @@
             assert await here.operate("out-of-service") == await here.operate("out-of-service") == 200
             assert await here.health() == 503
             assert await resting.read() == b""
-            await until(lambda: here.program.acceptor.refusing)
+            await until(lambda: here.program.server.refusing)
             late = await here.post("late")
             assert (late.start.split()[1], late.headers["connection"]) == ("503", "close")
             await worker.tell("c1", state="done", result="kept")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Script, Scripted, document, job, site, until
 from weldquay.policy import members as listed
-from weldquay.net import acceptor, connection, exchange, program, workers
+from weldquay.net import connection, discovery_client, exchange, program, server, workers
 from weldquay.net.outgoing import Connection
 from weldquay.net.workers import MOST_IDLE, Worker
 
@@ -189,7 +189,7 @@
     async def scenario() -> None:
         async with site() as here:
             here.workers[0].script = here.workers[0].accept
-            _, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            _, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(job())
             await here.workers[0].until("POST")
             writer.close()
@@ -270,9 +270,9 @@
             here.workers[0].script = here.workers[0].telling("x" * 60_000)
             client = socket.socket()
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            client.connect(("127.0.0.1", here.program.acceptor.port))
+            client.connect(("127.0.0.1", here.program.server.port))
             client.sendall(b"".join(job(f"c{number}") for number in range(300)))
-            connection, *_ = await until(lambda: list(here.program.acceptor.connections))
+            connection, *_ = await until(lambda: list(here.program.server.connections))
             size = connection.writer.transport.get_write_buffer_size
             await until(lambda: size() > 60_000)
             await asyncio.sleep(0.1)
@@ -281,7 +281,7 @@
             client.close()
 
     monkeypatch.setattr(program, "STAY_S", 0.01)
-    monkeypatch.setattr(acceptor, "LINGER_S", 0.1)
+    monkeypatch.setattr(server, "LINGER_S", 0.1)
     play(scenario())
 
 
@@ -506,7 +506,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             ending = asyncio.create_task(here.program.finish())
             await until(lambda: here.program.phase is program.Phase.DRAINING)
             for number in range(2):
@@ -696,7 +696,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(job() + b"nonsense\r\n\r\n")
             statuses = [(await read_message(reader)).start.split()[1] for _ in range(2)]
             assert statuses == ["200", "400"] and await reader.read() == b""
@@ -713,7 +713,7 @@
         async with site() as here:
             hidden, length = job("hidden"), "" if version == "1.0" else "Content-Length: 99\r\n"
             head = f"POST /lookup HTTP/{version}\r\nHost: a\r\nX-Correlation-Id: c1\r\n{length}"
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden)
             assert (await read_message(reader)).start.split()[1] == "400" and await reader.read() == b""
             assert here.workers[0].methods() == [] and not here.program.counters.counts["calls"]
@@ -732,11 +732,11 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             if kept:
                 writer.write(job())
                 assert (await read_message(reader)).body == b"TEXT"
-                await asyncio.sleep(3 * acceptor.REQUEST_S)
+                await asyncio.sleep(3 * server.REQUEST_S)
             writer.write(part)
             if kept and not part:
                 writer.write(job("c2"))
@@ -745,7 +745,7 @@
                 assert (await reader.read()).startswith(b"HTTP/1.1 408 " if part else b"")
             writer.close()
 
-    monkeypatch.setattr(acceptor, "REQUEST_S", 0.2)
+    monkeypatch.setattr(server, "REQUEST_S", 0.2)
     play(scenario())
 
 
@@ -754,14 +754,14 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(HEAD + b"X-Correlation-Id: a\r\nContent-Length: 60000000\r\n\r\n")
             assert (await read_message(reader)).start.split()[1] == "413"
             with pytest.raises(OSError):
                 for _ in range(60):
                     writer.write(bytes(1_000_000))
                     await writer.drain()
-            assert not here.program.acceptor.connections
+            assert not here.program.server.connections
 
     play(scenario())
 
@@ -771,17 +771,17 @@
 
     async def scenario() -> None:
         async with site() as here:
-            here.program.acceptor.most_connections = 10
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            here.program.server.most_connections = 10
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             crowd = []
             for number in range(5):
                 writer.write(job(f"c{number}"))
                 assert (await read_message(reader)).body == b"TEXT"
                 for _ in range(20):
-                    crowd.append(await asyncio.open_connection("127.0.0.1", here.program.acceptor.port))
+                    crowd.append(await asyncio.open_connection("127.0.0.1", here.program.server.port))
                     crowd[-1][1].write(b"GET /_he")
                 assert (await request(here.address, write_message("GET /_health HTTP/1.1"))).body == b"ok"
-                assert len(here.program.acceptor.connections) <= 10
+                assert len(here.program.server.connections) <= 10
             assert here.program.counters.counts["evicted_reading"] >= 80
             for _, each in [*crowd, (reader, writer)]:
                 each.close()
@@ -794,8 +794,8 @@
 
     async def scenario() -> None:
         async with site() as here:
-            here.program.acceptor.most_connections = 10
-            address = ("127.0.0.1", here.program.acceptor.port)
+            here.program.server.most_connections = 10
+            address = ("127.0.0.1", here.program.server.port)
             reader, writer = await asyncio.open_connection(*address)
             crowd: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
             counts = here.program.counters.counts
@@ -817,7 +817,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            taking = here.program.acceptor
+            taking = here.program.server
             reader, writer = await asyncio.open_connection("127.0.0.1", taking.port)
             writer.write(job("c0"))
             await read_message(reader)
@@ -840,12 +840,12 @@
 
     async def scenario() -> None:
         async with site() as here:
-            address = ("127.0.0.1", here.program.acceptor.port)
+            address = ("127.0.0.1", here.program.server.port)
             crowd = [socket.create_connection(address) for _ in range(100)]  # the loop stands still meanwhile
             files = len(os.listdir("/proc/self/fd"))
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert len(os.listdir("/proc/self/fd")) - files <= 2 * acceptor.TAKEN
+            assert len(os.listdir("/proc/self/fd")) - files <= 2 * server.TAKEN
             await until(lambda: here.program.counters.counts["client_connections"] >= 100)
             for each in crowd:
                 each.close()
@@ -875,9 +875,9 @@
 
     async def scenario() -> None:
         async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             for number, (data, status) in enumerate(BAD):
-                their, bad = await asyncio.open_connection("127.0.0.1", here.program.acceptor.port)
+                their, bad = await asyncio.open_connection("127.0.0.1", here.program.server.port)
                 bad.write(data)
                 answer = await read_message(their)
                 assert int(answer.start.split()[1]) == status, data[:80]
--- a/weldquay/fleet/slow_start.py
+++ b/weldquay/fleet/slow_start.py
@@ -23,15 +23,11 @@
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
 MIN_SHARE_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
-SLOT_WORK_NS = (
-    2_000_000_000  # work of a turn, where there is so much: half of all work comes in jobs over 0.8 s
-)
+SLOT_WORK_NS = 2_000_000_000  # work of a turn, where there is so much: half of all work is in jobs over 0.8 s
 BUDGET_FRACTION = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
 SLOT_FRACTION = 0.48  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
 MIN_SLOT_JOBS = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
-MAX_OVERCOMMIT = (
-    6.0  # times the turns that are paid for, whatever lapses: the part of a burst is a slice late
-)
+MAX_OVERCOMMIT = 6.0  # times the turns that are paid for, whatever lapses: a burst's part is a slice late
 _MASK = 2**64 - 1
 _CHANCE = 0xA0761D6478BD642F  # so that it is drawn apart from the ranks
 
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -3,7 +3,7 @@
 Rules: one request at a time; a call that waits keeps its connection read, as that is how a client's leaving
 shows; what cannot be taken in is answered, then the connection closes.  Each end is a lingering close: the
 writing half is shut, what still comes is read and dropped, and only then the connection is closed.  So no
-answer is taken back by a reset, and no request that was read after the shutdown is sent on.  The acceptor
+answer is taken back by a reset, and no request that was read after the shutdown is sent on.  The server
 owns the connection and may end it.
 """
 
@@ -35,7 +35,7 @@
 from weldquay.net.streams import HUNG_UP, CountingReader, shows, unread
 
 if TYPE_CHECKING:
-    from weldquay.net.acceptor import Acceptor
+    from weldquay.net.server import ClientServer
 
 READ_SIZE = 16 * 1024
 MAX_HEAD = 16 * 1024
@@ -67,13 +67,13 @@
 
     def __init__(
         self,
-        acceptor: Acceptor,
+        server: ClientServer,
         reader: CountingReader,
         writer: asyncio.StreamWriter,
         passed: Passed | None,
         expected: Expected | None,
     ) -> None:
-        self.acceptor, self.reader, self.writer = acceptor, reader, writer
+        self.server, self.reader, self.writer = server, reader, writer
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self.request: h11.Request | None = None
         self.body: list[Body] = []
@@ -88,7 +88,7 @@
         if passed is not None and passed.call is None:
             self.state, self.since = State.RESTING if passed.resting else State.READING, passed.since
         self.left_at, self.unsent = 0.0, 0  # since when it leaves, and what of its answer is still here
-        acceptor.among[self.state][self] = None
+        server.among[self.state][self] = None
 
     @property
     def leaving(self) -> bool:
@@ -98,10 +98,10 @@
     def _enter(self, state: State) -> None:
         """Go over into another state; what leaves stays so."""
         if not self.leaving:
-            del self.acceptor.among[self.state][self]
+            del self.server.among[self.state][self]
             self.state, self.since = state, time.monotonic()
-            self.acceptor.among[state][self] = None
-            if state is State.RESTING and self.acceptor.pass_on is not None:
+            self.server.among[state][self] = None
+            if state is State.RESTING and self.server.pass_on is not None:
                 asyncio.get_running_loop().call_soon(self.begin_passing)
 
     def begin_passing(self) -> None:
@@ -120,33 +120,33 @@
         """
         while more := await self.reader.read(READ_SIZE):
             data += more
-        acceptor, exchange = self.acceptor, self.acceptor.exchange
-        while self.call is not None and (acceptor.pass_on is None or not exchange.may_pass(self.call)):
+        server, exchange = self.server, self.server.exchange
+        while self.call is not None and (server.pass_on is None or not exchange.may_pass(self.call)):
             if shows(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
                 return
             await asyncio.sleep(PASS_S)
         if self.call is None:
             self.writer.transport.set_write_buffer_limits(high=0)
             await self.writer.drain()
-        if self.acceptor.pass_on is None or self.leaving or self.writer.is_closing():
+        if self.server.pass_on is None or self.leaving or self.writer.is_closing():
             return
         ahead, told = self.http.trailing_data[0] + data, None
         if self.call is not None:
-            self.acceptor.counters.add("calls_passed_on")
+            self.server.counters.add("calls_passed_on")
             assert self.request is not None
             left_ns = self.call.deadline_ns - time.monotonic_ns()
             ahead = request_again(self.request, b"".join(self.body), left_ns) + ahead
             told = exchange.pass_on(self.call)
-            self.acceptor.in_hand.discard(self.call.id)
+            self.server.in_hand.discard(self.call.id)
             self.call = None
-        self.acceptor.counters.add("clients_passed_on")
+        self.server.counters.add("clients_passed_on")
         file = os.dup(self.writer.get_extra_info("socket").fileno())
-        self.acceptor.pass_on(Passed(file, ahead, self.state is State.RESTING, self.since, told))
+        self.server.pass_on(Passed(file, ahead, self.state is State.RESTING, self.since, told))
 
     def forget(self) -> None:
         """Count no more among the connections."""
-        self.acceptor.among[self.state].pop(self, None)
-        self.acceptor.connections.pop(self, None)
+        self.server.among[self.state].pop(self, None)
+        self.server.connections.pop(self, None)
 
     def evict(self) -> None:
         """Close at once and make room; what it may still bring is not taken in."""
@@ -175,14 +175,14 @@
         """The connection has ended: a call still in hand loses its client."""
         self.forget()
         self._count_ahead(0)
-        self.acceptor.forget_call(self.expected)
+        self.server.forget_call(self.expected)
         if self.call is not None:
-            self.acceptor.in_hand.discard(self.call.id)
-            self.acceptor.exchange.client_gone(self.call)
+            self.server.in_hand.discard(self.call.id)
+            self.server.exchange.client_gone(self.call)
             self.call = None
 
     def _count_ahead(self, size: int) -> None:
-        self.acceptor.ahead += size - self.ahead
+        self.server.ahead += size - self.ahead
         self.ahead = size
 
     def out_of_time(self, now: float) -> None:
@@ -211,7 +211,7 @@
                 break
             self.heard = self.heard or bool(data)
             if self.state is State.READING:  # what makes progress is not the first to make room
-                self.acceptor.among[State.READING][self] = self.acceptor.among[State.READING].pop(self)
+                self.server.among[State.READING][self] = self.server.among[State.READING].pop(self)
             if self.call is None:
                 self.http.receive_data(data)
                 self._advance()
@@ -222,16 +222,16 @@
             while dropped < MAX_LINGER and (data := await self.reader.read(READ_SIZE)):
                 dropped += len(data)
             self.writer.transport.set_write_buffer_limits(high=0)
-            await self.writer.drain()  # a client that has sent all may still read; the acceptor bounds it
+            await self.writer.drain()  # a client that has sent all may still read; the server bounds it
 
     def _read_ahead(self, data: bytes) -> None:
         """Take in what comes while a call waits.
 
         Guards against clients that send without end; they are read on, as else their leaving would not show.
         """
-        most = self.acceptor.most_ahead
+        most = self.server.most_ahead
         if self.ahead + len(data) > MAX_AHEAD and (
-            self.ahead + len(data) > MOST_AHEAD or self.acceptor.ahead + len(data) > most
+            self.ahead + len(data) > MOST_AHEAD or self.server.ahead + len(data) > most
         ):
             self.overrun = True
         if not self.overrun:
@@ -290,7 +290,7 @@
 
     def _reject(self, status: int, why: str) -> None:
         """Answer what cannot be taken in, and close: a client that sends such has nothing else to say."""
-        self.acceptor.counters.add(f"rejected_{status}")
+        self.server.counters.add(f"rejected_{status}")
         self._last(status, why.encode())
 
     def _last(self, status: int, body: bytes) -> None:
@@ -305,12 +305,12 @@
         assert request is not None
         body: Body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
         path = request.target.split(b"?", 1)[0]
-        job_class = self.acceptor.classes.get(class_name(path))
+        job_class = self.server.classes.get(class_name(path))
         try:
             if path == HEALTH:
                 if request.method not in (b"GET", b"HEAD"):
                     self._reject(405, "only GET and HEAD")
-                elif self.acceptor.serving():
+                elif self.server.serving():
                     self._last(200, b"ok")
                 else:
                     self._last(503, b"draining")
@@ -319,8 +319,8 @@
             elif request.method != b"POST":
                 self._reject(405, "only POST")
             elif job_class is None:
-                if not self.acceptor.exchange.call_back(callback(body, self.acceptor.config.report_fields)):
-                    self.acceptor.pass_back(bytes(body))
+                if not self.server.exchange.call_back(callback(body, self.server.config.report_fields)):
+                    self.server.pass_back(bytes(body))
                 self._write(204)
             else:
                 self._open(request, job_class, body)
@@ -336,26 +336,26 @@
             for answer in expected.answers:
                 self._answer(answer)
             return
-        if self.acceptor.refusing:
-            self.acceptor.counters.add("calls_out_of_service")
-            self._overload(self.acceptor.config.settings.max_retry_after_ns)
+        if self.server.refusing:
+            self.server.counters.add("calls_out_of_service")
+            self._overload(self.server.config.settings.max_retry_after_ns)
             return
-        if told.id in self.acceptor.in_hand or told.id in self.acceptor.elsewhere:
+        if told.id in self.server.in_hand or told.id in self.server.elsewhere:
             self._reject(409, "a call with this id is in hand")
             return
         job = job_of(request, body)
         self._count_ahead(len(self.http.trailing_data[0]))
-        self.call = self.acceptor.exchange.open(job_class, told, job, self._answer)
+        self.call = self.server.exchange.open(job_class, told, job, self._answer)
         if self.call is None:
-            self._overload(self.acceptor.config.settings.max_retry_after_ns)
+            self._overload(self.server.config.settings.max_retry_after_ns)
         else:
-            self.acceptor.in_hand.add(told.id)
+            self.server.in_hand.add(told.id)
             self._enter(State.CALLING)
 
     def _answer(self, answer: Answer) -> None:
         """Write the final answer of the call in hand."""
         assert self.call is not None
-        self.acceptor.in_hand.discard(self.call.id)
+        self.server.in_hand.discard(self.call.id)
         self.call = None
         if isinstance(answer, Served):
             self._write(200, answer.result.encode())
@@ -364,7 +364,7 @@
         else:
             self._write(502, b"failed")
         if self.state is State.RESTING and self.http.trailing_data[0]:
-            self.acceptor.tasks.start(self._go_on(), "the next call of a connection")
+            self.server.tasks.start(self._go_on(), "the next call of a connection")
 
     def _overload(self, wait_ns: int) -> None:
         wait = [(b"Retry-After", retry_after(wait_ns))] if wait_ns else []
@@ -386,7 +386,7 @@
         headers = headers or []
         if status != 204:
             headers.append((b"Content-Length", b"%d" % len(body)))
-        if self.acceptor.closing or self.overrun:
+        if self.server.closing or self.overrun:
             headers.append((b"Connection", b"close"))
         data = (
             self.http.send(h11.Response(status_code=status, headers=headers, reason=REASONS[status])) or b""
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from weldquay.errors import OperatorError
-from weldquay.net.acceptor import LINGER_S, Acceptor
+from weldquay.net.server import LINGER_S, ClientServer
 from weldquay.net.calls import Passed
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
@@ -101,15 +101,15 @@
         self.exchange = exchange
         self.workers = Workers(self.config, self.counters, exchange)
         self.discovery = DiscoveryClient(self.config, exchange)
-        self.acceptor = Acceptor(self.config, self.counters, exchange, self.serving)
+        self.server = ClientServer(self.config, self.counters, exchange, self.serving)
         self.operators = Operators(self.config.mgmt, self.counters, self)
         await self.operators.listen()
         self.handover = Handover(self.config.name, self.counters, self)
         offered = await self.handover.ask()
         if self.inherited:
             self._inherit_list()
-        await self.acceptor.listen(-1 if offered is None else offered.file)
-        self.acceptor.pass_back = partial(self.handover.send, "call-back")
+        await self.server.listen(-1 if offered is None else offered.file)
+        self.server.pass_back = partial(self.handover.send, "call-back")
         exchange.start(self.workers, self.discovery)
         for worker_id in self.bans.read():
             exchange.ban(worker_id, True)
@@ -118,7 +118,7 @@
             await self._take_over(offered)
         elif self.config.settings.list_near:
             await self._until_listed()
-        await self.acceptor.accept()
+        await self.server.accept()
         self._enter(Phase.SERVING)
         if offered is not None and offered.told["out_since"] is not None:
             self.out_of_service(offered.told["out_since"])
@@ -156,9 +156,9 @@
 
     def offer(self) -> tuple[int, dict[str, Any]] | None:
         """The listener, for a newer process, and room for its connections."""
-        if self.phase not in (Phase.SERVING, Phase.OUT_OF_SERVICE) or self.acceptor.listener is None:
+        if self.phase not in (Phase.SERVING, Phase.OUT_OF_SERVICE) or self.server.listener is None:
             return None
-        self.acceptor.limit(NEWER_FILES)
+        self.server.limit(NEWER_FILES)
         self.workers.limit(1 - NEWER_PART)
         members = self.workers.members()
         for at in range(0, len(members), IDS) if self.exchange.listed else ():
@@ -172,7 +172,7 @@
             "bans": sorted(self.exchange.bans),
             "out_since": self.out_since if self.phase is Phase.OUT_OF_SERVICE else None,
         }
-        return os.dup(self.acceptor.listener.fileno()), told
+        return os.dup(self.server.listener.fileno()), told
 
     def hand_over(self) -> None:
         """Pass on what is known, and the clients' connections; what is in hand ends here."""
@@ -183,11 +183,11 @@
         self._enter(Phase.HANDED_OVER)
         for worker_id, told in self.exchange.remember().items():
             self.handover.send("worker", id=worker_id, memory=told, at=self.workers.address(worker_id))
-        ids = list(self.acceptor.in_hand)
+        ids = list(self.server.in_hand)
         for at in range(0, len(ids), IDS):
             self.handover.send("open", ids=ids[at : at + IDS])
-        self.handover.send("held", clients=len(self.acceptor.connections))
-        self.acceptor.hand_over(self._pass_client)
+        self.handover.send("held", clients=len(self.server.connections))
+        self.server.hand_over(self._pass_client)
         self.tasks.start(self._tell_held(), "telling of the connections that are left")
 
     def _pass_client(self, passed: Passed) -> None:
@@ -199,7 +199,7 @@
         """Tell the newer process how many connections it has to leave room for."""
         while self.handover.link is not None:
             await asyncio.sleep(HELD_S)
-            self.handover.send("held", clients=len(self.acceptor.connections))
+            self.handover.send("held", clients=len(self.server.connections))
 
     def take(self, message: Message) -> None:
         """Take in what the other process tells; what an unknown kind says is left out."""
@@ -210,13 +210,13 @@
             case "members":
                 self.inherited.append(message)
             case "open":
-                self.acceptor.elsewhere.update(message.told["ids"])
+                self.server.elsewhere.update(message.told["ids"])
             case "client" if message.file < 0:  # there was no descriptor left for it
                 self.counters.add("handover_without_descriptor")
             case "client":
                 if self.others:
                     self._leave_room(self.others - 1)
-                self.acceptor.adopt(Passed(message.file, message.data, **message.told))
+                self.server.adopt(Passed(message.file, message.data, **message.told))
             case "held":
                 self._leave_room(message.told["clients"])
             case "ban":
@@ -225,29 +225,29 @@
                 with suppress(MessageError):
                     matched = self.exchange.call_back(callback(message.data, self.config.report_fields))
                     # Guards against a call-back that overtakes its call: back it comes behind it.
-                    if not matched and self.acceptor.pass_on is not None:
+                    if not matched and self.server.pass_on is not None:
                         self.handover.send("call-back", message.data)
 
     def _leave_room(self, others: int) -> None:
         """Count the clients' connections that the older process still holds."""
         self.others = others
-        self.acceptor.limit(NEWER_FILES + others)
+        self.server.limit(NEWER_FILES + others)
 
     def alone(self, unsent: Iterable[Message]) -> None:
         """The other process has gone: all room is this one's; if it was to take over, this one goes on."""
-        self.acceptor.limit(0)
+        self.server.limit(0)
         self.workers.limit(1)
-        self.acceptor.elsewhere.clear()
-        self.acceptor.pass_on = None
+        self.server.elsewhere.clear()
+        self.server.pass_on = None
         for message in unsent:
             if message.kind == "client" and self.phase not in (Phase.STOPPING, Phase.STOPPED):
                 self.take(message)
             elif message.file >= 0:
                 os.close(message.file)
         if self.phase is Phase.DRAINING:
-            self.acceptor.begin_closing()
+            self.server.begin_closing()
         elif self.phase is Phase.HANDED_OVER:
-            self.tasks.start(self.acceptor.accept(), "accepting again")
+            self.tasks.start(self.server.accept(), "accepting again")
             self._enter(Phase.SERVING)
             if self.before is Phase.OUT_OF_SERVICE:
                 self.out_of_service(self.out_since)
@@ -274,7 +274,7 @@
         """Take clients again; False where it is about to end."""
         if self.phase is Phase.OUT_OF_SERVICE:
             self._stop_emptying()
-            self.acceptor.reopen()
+            self.server.reopen()
             self._enter(Phase.SERVING)
         return self.phase is Phase.SERVING
 
@@ -290,9 +290,9 @@
     async def _empty(self) -> None:
         """Have clients leave: those that rest first, then all."""
         await asyncio.sleep(self.out_since + SEEN_S - time.monotonic())
-        self.acceptor.begin_closing()
+        self.server.begin_closing()
         await asyncio.sleep(self.out_since + EMPTY_S - time.monotonic())
-        self.acceptor.refusing = True
+        self.server.refusing = True
 
     def _stop_emptying(self) -> None:
         if self.emptying is not None:
@@ -311,11 +311,11 @@
         if not handed_over:  # else connections go to the newer process after their answers
             await asyncio.sleep(min(STAY_S, STAY_PART * left_s))
             self._enter(Phase.CLOSING)
-            self.acceptor.begin_closing()
+            self.server.begin_closing()
         with suppress(TimeoutError):
             async with asyncio.timeout_at(last + LAST_S / 2):
                 await self._settled()
-                while handed_over and self.acceptor.connections:
+                while handed_over and self.server.connections:
                     await asyncio.sleep(LOOK_S)
                 if handed_over:
                     await self.handover.part()
@@ -324,7 +324,7 @@
         await self.discovery.stop()
         await self.operators.stop()
         now = asyncio.get_running_loop().time()
-        await self.acceptor.stop(min(LINGER_S, max(0.0, last + LAST_S * 0.8 - now)))
+        await self.server.stop(min(LINGER_S, max(0.0, last + LAST_S * 0.8 - now)))
         await self.workers.stop()
         self.handover.stop()
         self._enter(Phase.STOPPED)
@@ -377,7 +377,7 @@
                 self.counters.add("reloads")
                 self.kept.write(self.config.document)
                 self.discovery.move(self.config)
-                for part in (self.exchange, self.acceptor, self.workers):
+                for part in (self.exchange, self.server, self.workers):
                     part.retune(self.config)
                 if others:
                     log.warning("only a new start takes in what changed in: %s", ", ".join(others))
--- a/weldquay/net/acceptor.py
+++ b/weldquay/net/server.py
@@ -1,4 +1,4 @@
-"""The acceptor: one listener for clients, for `/_health` and for the call-backs of match workers."""
+"""The server: one listener for clients, for `/_health` and for the call-backs of match workers."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 LINGER_S = 1.0  # after a refused message the client has this long to read why
 
 
-class Acceptor:
+class ClientServer:
     """The listener and its connections."""
 
     def __init__(
