Begin attempts only while the list's lease runs: nothing goes to workers that have left

Ruled out: watches (none failed in that play), late lines, sends by lists that discovery had told (all such were to workers that had come back).

Now one rule in one place: discovery/list_lease.py grants a lease by each proof that nothing has been missed, and no attempt begins without one; the decisions look when they place, the connection to the worker right before the first byte. A list that was never confirmed has none, so requests of a new process wait for discovery's first answer, and the first of them has it asked at once. /_health says no meanwhile (3.5 s at most). Failures are told apart (refused, unreached, closed, silent, unanswered, busy), a connection that never comes up is given up after 1.6 s.

--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -36,7 +36,8 @@
         begun = time.monotonic()
         discovery = Slow() if manner is None else Failing(manner, 99)
         async with site(discovery=discovery, discovery_mode=mode, group_size=200, me=7) as here:
-            assert await here.health() == 200
+            while await here.health() != 200:
+                await asyncio.sleep(0.05)
             assert time.monotonic() - begun < READY_S - 2  # LIST_S at the most: 3.5 s
             while await here.operate("ready", "GET") != 200:
                 await asyncio.sleep(0.05)
--- a/weldquay/discovery/backoff.py
+++ b/weldquay/discovery/backoff.py
@@ -20,6 +20,7 @@
 
 import random
 
+from weldquay.discovery.list_lease import CLOCK_NS, NOT_REACHED
 from weldquay.interface import ListFailure
 
 MIN_REFUSED_BOUND_NS = 1_000_000_000  # bound of the wait after a refused connection, few dispatchers
@@ -27,8 +28,8 @@
     200_000_000  # of that bound for each dispatcher: all of them ask ten times a second, or less
 )
 CALL_INTERVAL_NS = 40_000_000  # the same for other asks, which hardly find a queue
+INITIAL_INTERVAL_NS = 10_000_000  # the same for the first ask of a process, which serves nobody before
 GROWTH = 1.6  # of the bound, at each failure in a row
-CLOCK_NS = 6_000_000_000  # so long after discovery had a change and could be reached, it counts as told
 QUEUE_NS = 2_000_000_000  # a call waits so long at discovery at most, then fails
 MARGIN_NS = 400_000_000  # of the clock: a dispatcher that is behind, the way there and back
 MAX_DELAY_NS = CLOCK_NS - QUEUE_NS - MARGIN_NS  # of a spread: with the queue it stays within the clock
@@ -59,7 +60,7 @@
         if self.near:
             return 0
         self.deadline_ns = now_ns + CLOCK_NS
-        return int(self.random.random() * min(MAX_DELAY_NS, CALL_INTERVAL_NS * (self.dispatchers - 1)))
+        return int(self.random.random() * min(MAX_DELAY_NS, INITIAL_INTERVAL_NS * (self.dispatchers - 1)))
 
     def reset(self) -> None:
         """An ask has succeeded."""
@@ -76,14 +77,14 @@
             return int(self.random.random() * LOCAL_AGENT_INTERVAL_NS)
         growth, self.failures = GROWTH ** min(self.failures, 20), self.failures + 1
         deadline_ns = now_ns - silent_ns + CLOCK_NS
-        if failure is not ListFailure.UNREACHED and self.deadline_ns > now_ns:
+        if failure not in NOT_REACHED and self.deadline_ns > now_ns:
             deadline_ns = min(deadline_ns, self.deadline_ns)
         left_ns = max(MIN_DELAY_NS, deadline_ns - MARGIN_NS - QUEUE_NS - now_ns)
         if deadline_ns <= now_ns:  # it is too late for what was missed first: the next has a clock of its own
             deadline_ns, left_ns = now_ns + CLOCK_NS, MAX_DELAY_NS
         self.deadline_ns = deadline_ns
         space_ns = REFUSED_INTERVAL_NS * self.dispatchers
-        if failure is ListFailure.UNREACHED:
+        if failure in NOT_REACHED:
             bound_ns = min(left_ns, max(MIN_REFUSED_BOUND_NS, space_ns) * growth)
         elif failure is ListFailure.BUSY and space_ns > MAX_DELAY_NS:
             # What keeps it from working off its queue is this very fleet, and asking sooner costs all of it
--- a/weldquay/interface.py
+++ b/weldquay/interface.py
@@ -60,19 +60,34 @@
 
 
 class ListKind(Enum):
-    """What a membership event holds; FAILED holds nothing and leaves the list as it was."""
+    """What a membership event holds.
+
+    CURRENT, MOVED and FAILED hold no entries and leave the list as it was.  CURRENT: discovery has nothing
+    new.  MOVED: a reload has given discovery another address.
+    """
 
     DELTA = "delta"
     FULL = "full"
     CACHED = "cached"
+    CURRENT = "current"
+    MOVED = "moved"
     FAILED = "failed"
 
 
 class ListFailure(Enum):
-    """How a call to discovery failed; BUSY, also where it is not told: after a wait in discovery's queue."""
+    """How a call to discovery failed.
+
+    REFUSED: at once, by a refused or reset connection or a 503: discovery is down.  UNREACHED: no connection
+    came up.  CLOSED: an open watch ended.  SILENT: an open watch told nothing, not even an empty line.
+    UNANSWERED: discovery took the call and brought no news, or news that cannot be used.  BUSY, also where it
+    is not told: after a wait in discovery's queue.
+    """
 
+    REFUSED = "refused"
     UNREACHED = "unreached"
-    ENDED = "ended"
+    CLOSED = "closed"
+    SILENT = "silent"
+    UNANSWERED = "unanswered"
     BUSY = "busy"
 
 
@@ -103,6 +118,9 @@
     zone: int = 0
     tick_ns: int = 1_000_000
     asks_list: bool = False
+    list_expires: bool = (
+        False  # changes may be missed unseen, so that the list may be acted on for a time only
+    )
     list_near: bool = False  # an agent on the dispatcher's own machine has the list: asking it costs nothing
     ask_within_ns: int = 10_000_000_000
     may_cancel: bool = False
@@ -162,13 +180,16 @@
 class Membership:
     """News of the worker list.
 
-    Of a call that failed: silent_ns since its last good news, or since it was made; and how it failed.
+    Of a call that failed: silent_ns since its last good news, or since it was made; and how it failed.  Of a
+    cached list: lease_until_ns, until when an earlier process of this dispatcher could act on it; 0: it is of
+    any age.
     """
 
     kind: ListKind
     entries: tuple[WorkerEntry, ...] = ()
     silent_ns: int = 0
     failure: ListFailure = ListFailure.BUSY
+    lease_until_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -95,6 +95,9 @@
     sockets: int
     memory_mb: int
     known: MemberList
+    lease_until_ns: (
+        int  # until when an earlier process could act on it, on the monotonic clock; 0: of any age
+    )
     document: dict[str, Any]  # as it was read
 
 
@@ -242,7 +245,13 @@
         mgmt=address("GW_MGMT", mgmt) if mgmt else None,
         seed=_seed(document.get("seed", "0")),
         # Discovery on sockets answers only when asked, whatever mode the deployment's simulator has.
-        settings=replace(settings, asks_list=True, list_near=not settings.asks_list, room=_room(document)),
+        settings=replace(
+            settings,
+            asks_list=True,
+            list_expires=True,
+            list_near=not settings.asks_list,
+            room=_room(document),
+        ),
         class_names=class_names,
         offered=frozenset(class_names),
         zones=tuple(pairs.items("zones")),
@@ -253,6 +262,7 @@
         sockets=_limit(limits, "sockets", 1024, LEAST_SOCKETS),
         memory_mb=_limit(limits, "memory_mb", 192, LEAST_MEMORY_MB),
         known=_known(known),
+        lease_until_ns=0,
         document=document,
     )
 
--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -29,6 +29,9 @@
 READ_SIZE = 64 * 1024
 BEAT_S = 2.0  # a watch tells at least an empty line so often
 LATE_S = 0.6  # and a line may be so late; what a silent watch misses counts as told 6 s after it fell silent
+CONNECT_S = (
+    1.6  # a connection is up by then, with one SYN sent again after 1 s; else discovery is not reached
+)
 ANSWER_S = 2.4  # discovery holds a call 2 s at most; twice that and the waits between fit in the clock's 6 s
 BUSY_S = 0.5  # a call that discovery ends after so long has waited in its queue
 NEAR_S = 0.2  # an agent on this machine answers at once: right after an outage what it has counts as told
@@ -52,6 +55,18 @@
     remedy = "see that discovery's address is right and that the network lets this machine through to it"
 
 
+class WatchClosed(OperatorError):
+    """Discovery has ended the call, or its connection was lost."""
+
+    remedy = "see that discovery runs; it is asked again, and the last list is used for a time"
+
+
+class Unavailable(OperatorError):
+    """Discovery has answered that it is down or too busy."""
+
+    remedy = "see that discovery runs and has room for this fleet's calls; it is asked again"
+
+
 class DiscoveryClient:
     """Discovery as the exchange's DiscoverySide.  Every watch is answered; its end is told as a failure."""
 
@@ -61,7 +76,8 @@
         self.revision = config.known.revision
         self.watching: asyncio.Task[None] | None = None
         self.failures = 0  # in a row
-        self.asked = 0.0
+        self.asked = 0.0  # when the call was made that has brought no value yet; 0: it has
+        self.answered = False  # the head of the call's answer has come
         self.whole_at = 0.0  # when something whole last came, or the call was made
 
     def move(self, config: Config) -> None:
@@ -69,6 +85,7 @@
         moved, self.config = config.discovery != self.config.discovery, config
         if moved:
             self.revision = 0
+            self.exchange.list_moved()
             self.watch()
 
     def watch(self) -> None:
@@ -82,10 +99,10 @@
         await self.tasks.stop()
 
     async def _watch(self) -> None:
-        self.whole_at, failure = time.monotonic(), api.ListFailure.ENDED
+        self.whole_at, failure = time.monotonic(), api.ListFailure.CLOSED
         try:
             await self._follow()
-        except (OSError, h11.RemoteProtocolError, MessageError, DiscoverySilent) as error:
+        except (OSError, h11.RemoteProtocolError, OperatorError) as error:
             if isinstance(error, DiscoverySilent):
                 self.exchange.counters.add("lists_silent" if error.answered else "lists_unanswered")
             failure = self._failure(error)
@@ -99,65 +116,81 @@
         """How a call to discovery failed."""
         if isinstance(error, NotReached):
             return api.ListFailure.UNREACHED
-        if isinstance(error, DiscoverySilent) or not self.asked:
-            return api.ListFailure.ENDED
+        if isinstance(error, DiscoverySilent):
+            is_mute = not self.asked and error.silent_s < VALUE_S
+            return api.ListFailure.SILENT if is_mute else api.ListFailure.UNANSWERED
+        if not isinstance(error, OSError | WatchClosed | Unavailable):
+            return api.ListFailure.UNANSWERED
+        if not self.asked:
+            return api.ListFailure.CLOSED
+        if self.answered:
+            return api.ListFailure.UNANSWERED
         # It told nothing: it is down and says so at once, or so late that it must be behind.
         late = time.monotonic() - self.asked > BUSY_S
-        return api.ListFailure.BUSY if late else api.ListFailure.UNREACHED
+        return api.ListFailure.BUSY if late else api.ListFailure.REFUSED
 
     async def _follow(self) -> None:
         """Tell the exchange of each value of a watch, until the watch ends."""
-        host, port = self.config.discovery
-        answer_s = NEAR_S if self.config.settings.list_near else ANSWER_S
-        self.asked = self.whole_at
-        try:
-            async with asyncio.timeout(answer_s):
-                reader, writer = await asyncio.open_connection(host, port)
-        except TimeoutError:
-            raise NotReached(answer_s, answered=False) from None
+        self.asked, self.answered = self.whole_at, False
+        reader, writer = await self._connect()
         try:
             http = h11.Connection(h11.CLIENT)
-            writer.write(
-                http.send(
-                    h11.Request(
-                        method=b"GET",
-                        target=watch_target(self.revision),
-                        headers=[(b"Host", f"{host}:{port}".encode())],
-                    )
-                )
-                or b""
-            )
-            writer.write(http.send(h11.EndOfMessage()) or b"")
-            values, answered, late = Values(), False, False
+            writer.write(self._request(http))
+            values, late = Values(), False
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    now = time.monotonic()
-                    patience_s = (
-                        min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now)
-                        if answered
-                        else (self.asked + answer_s - now)
-                    )
+                    patience_s = self._patience_s()
                     if patience_s <= 0 and late:
-                        raise DiscoverySilent(now - self.whole_at, answered)
+                        raise DiscoverySilent(time.monotonic() - self.whole_at, self.answered)
                     late = patience_s <= 0
-                    http.receive_data(await self._read(reader, max(LEAST_S, patience_s), answered))
-                elif isinstance(event, h11.Response) and event.status_code != 200:
-                    raise MessageError(f"it answered {event.status_code}")
+                    http.receive_data(await self._read(reader, max(LEAST_S, patience_s)))
                 elif isinstance(event, h11.Response):
-                    answered = True
-                    if not self.config.settings.list_near:  # what an agent has counts as told, so it is read
-                        self.exchange.list_told()
+                    self._check(event.status_code)
                 elif isinstance(event, h11.Data):
                     for value in values.feed(event.data):
                         self._take(value)
                         self.whole_at = time.monotonic()
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                    raise MessageError("it closed")
+                    raise WatchClosed("it closed")
         finally:
             writer.transport.abort()
 
-    async def _read(self, reader: asyncio.StreamReader, patience_s: float, answered: bool) -> bytes:
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A connection to discovery; NotReached where none comes up, OSError where it is refused."""
+        connect_s = NEAR_S if self.config.settings.list_near else CONNECT_S
+        try:
+            async with asyncio.timeout(connect_s):
+                return await asyncio.open_connection(*self.config.discovery)
+        except TimeoutError:
+            raise NotReached(connect_s, answered=False) from None
+
+    def _request(self, http: h11.Connection) -> bytes:
+        """The bytes of the call for a watch from the known revision on."""
+        host, port = self.config.discovery
+        request = h11.Request(
+            method=b"GET",
+            target=watch_target(self.revision),
+            headers=[(b"Host", f"{host}:{port}".encode())],
+        )
+        return (http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b"")
+
+    def _check(self, status: int) -> None:
+        """Go on where the call is answered; Unavailable or MessageError where it is not."""
+        if status >= 500:
+            raise Unavailable(f"it answered {status}")
+        if status != 200:
+            raise MessageError(f"it answered {status}")
+        self.answered = True
+
+    def _patience_s(self) -> float:
+        """How long discovery may still tell nothing, from now on."""
+        now = time.monotonic()
+        if self.answered:
+            return min(BEAT_S + LATE_S, self.whole_at + VALUE_S - now)
+        return self.asked + (NEAR_S if self.config.settings.list_near else ANSWER_S) - now
+
+    async def _read(self, reader: asyncio.StreamReader, patience_s: float) -> bytes:
         """What comes next.
 
         Guards against a dispatcher that stalled: what has come meanwhile is read, though the time is up.
@@ -166,7 +199,9 @@
         try:
             await asyncio.wait({reading}, timeout=patience_s)
             if not reading.done():
-                raise DiscoverySilent(time.monotonic() - self.whole_at, answered)
+                raise DiscoverySilent(time.monotonic() - self.whole_at, self.answered)
+            if not reading.result():
+                raise WatchClosed("it closed")
             return reading.result()
         finally:
             reading.cancel()
@@ -187,4 +222,5 @@
                 raise MessageError(f"its revision went back from {before} to {told.revision}")
             self.revision = told.revision
             self.exchange.follow(told, api.ListKind.FULL if told.complete else api.ListKind.DELTA)
-        self.exchange.list_told()
+        else:
+            self.exchange.list_current()
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -48,13 +48,13 @@
         self.worker_numbers: dict[str, int] = {}
         self.worker_names: dict[int, str] = {}
         self.bans: set[str] = set()  # workers that operators took out
-        self.listed = False  # discovery has told which workers there are
+        self.waits_for_list = False  # requests are held, since the list may be out of date
         self.zones, self.kinds = numbered(config.zones), numbered(config.kinds)
 
     def start(self, workers: WorkerSide, discovery: DiscoverySide) -> None:
         """Begin with the list that the configuration holds."""
         self.workers, self.discovery = workers, discovery
-        self.follow(self.config.known, api.ListKind.CACHED)
+        self.follow(self.config.known, api.ListKind.CACHED, self.config.lease_until_ns)
 
     @property
     def owes(self) -> bool:
@@ -232,14 +232,15 @@
 
     # --- the registry's side ---
 
-    def follow(self, told: MemberList, kind: api.ListKind) -> None:
-        """Take in the list, or changes of it."""
+    def follow(self, told: MemberList, kind: api.ListKind, lease_until_ns: int = 0) -> None:
+        """Take in the list, or changes of it; lease_until_ns: an earlier process's, of a cached list."""
         self.counters.add(f"lists_{kind.value}")
         self._forget()
         for member in told.members:
             self._number(member.id)
         self.workers.follow(told)
-        self._tell(api.Membership(kind, tuple(self._entry(member) for member in told.members)))
+        entries = tuple(self._entry(member) for member in told.members)
+        self._tell(api.Membership(kind, entries, lease_until_ns=lease_until_ns))
 
     def _forget(self) -> None:
         """Guard against ids that change for years: what the decisions have forgotten goes here too."""
@@ -346,9 +347,23 @@
         )
         return call
 
-    def list_told(self) -> None:
-        """Discovery answers a watch: the list that is known is as new as it tells."""
-        self.listed = self.listed or bool(self.worker_numbers)
+    def list_current(self) -> None:
+        """Discovery tells that nothing has changed."""
+        self._tell(api.Membership(api.ListKind.CURRENT))
+
+    def list_moved(self) -> None:
+        """A reload has given discovery another address."""
+        self._tell(api.Membership(api.ListKind.MOVED))
+
+    @property
+    def listed(self) -> bool:
+        """True once discovery has told this process, or the one before it, which workers there are."""
+        return self.dispatcher.lease.granted
+
+    @property
+    def list_lease_until_ns(self) -> int:
+        """Until when attempts may begin by the list that is known, on the monotonic clock; 0: not at all."""
+        return self.dispatcher.lease.until_ns
 
     def list_failed(self, silent_ns: int, failure: api.ListFailure) -> None:
         """A call to discovery failed, or its watch has ended, so long after its last good news."""
@@ -390,6 +405,7 @@
             return
         for action in actions:
             self._do(action)
+        self._watch_lease(started_ns)
         self.counters.add("steps")
         self.counters.peak("longest_step_ms", (time.monotonic_ns() - started_ns) / 1e6)
 
@@ -421,6 +437,16 @@
             case api.Tell():
                 log.warning("there is no way to other dispatchers here: a message is dropped")
 
+    def _watch_lease(self, now_ns: int) -> None:
+        """Tell operators when requests begin to wait for discovery, and when that is over."""
+        waits = now_ns >= self.list_lease_until_ns and bool(self.calls)
+        if waits and not self.waits_for_list:
+            self.counters.add("list_leases_expired")
+            log.warning("requests wait: the list of workers may be out of date until discovery answers")
+        elif self.waits_for_list and now_ns < self.list_lease_until_ns:
+            log.info("the list of workers is up to date again")
+        self.waits_for_list = now_ns >= self.list_lease_until_ns and (waits or self.waits_for_list)
+
     def _hold_ended(self, ended: api.HoldEnded) -> None:
         """Tell operators what became of room that was held."""
         self.counters.add(f"holds_{ended.why}")
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -93,7 +93,11 @@
 
     def serving(self) -> bool:
         """True while new clients are wanted."""
-        return self.phase is Phase.SERVING
+        return self.phase is Phase.SERVING and self._listed()
+
+    def _listed(self) -> bool:
+        """True once the list is confirmed, or has not been for long: requests wait for discovery then."""
+        return self.exchange.listed or time.monotonic() - self.begun > LIST_S
 
     async def start(self) -> None:
         """Open the listener and begin to serve; OSError where the address is not to be had."""
@@ -132,7 +136,9 @@
         revision = told["revision"] if told["discovery"] == list(self.config.discovery) else 0
         lines = [line for message in self.inherited for line in message.told["members"]]
         self.config = replace(
-            self.config, known=member_list({"revision": revision, "complete": True, "members": lines})
+            self.config,
+            known=member_list({"revision": revision, "complete": True, "members": lines}),
+            lease_until_ns=min(message.told["lease_until_ns"] for message in self.inherited),
         )
         self.discovery.revision = revision
         self.exchange.config = self.config
@@ -166,6 +172,7 @@
                 "members",
                 revision=self.discovery.revision,
                 discovery=self.discovery.config.discovery,
+                lease_until_ns=self.exchange.list_lease_until_ns,
                 members=[member_line(each) for each in members[at : at + IDS]],
             )
         told = {
@@ -256,8 +263,7 @@
         """True once calls can be served here: the list has come, or is late, and this is not about to end."""
         if self.phase is Phase.HANDED_OVER:
             return True  # the newer process is
-        told = self.exchange.listed or time.monotonic() - self.begun > LIST_S
-        return told and self.phase in (Phase.SERVING, Phase.OUT_OF_SERVICE)
+        return self._listed() and self.phase in (Phase.SERVING, Phase.OUT_OF_SERVICE)
 
     def out_of_service(self, since: float | None = None) -> bool:
         """Empty the dispatcher, for its operators; False where it is about to end.
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -275,19 +275,20 @@
             if not reused:
                 connection.abort()
 
-    @staticmethod
-    def _may_begin(worker: Worker, attempt: Attempt) -> bool:
+    def _may_begin(self, worker: Worker, attempt: Attempt) -> bool:
         """True where an attempt may begin now, after all that it had to wait for.
 
-        Guards against what happened meanwhile: the worker was told of as leaving or was taken out, the client
-        has gone, the time for a repeat is over.
+        Guards against what happened meanwhile: the worker was told of as leaving or taken out, or may have
+        been, as the list's lease has run out; the client has gone, the time for a repeat is over.
         """
+        now_ns = time.monotonic_ns()
         return (
-            attempt.call.open
+            now_ns < self.exchange.list_lease_until_ns
+            and attempt.call.open
             and not attempt.ended
             and not worker.banned
             and worker.member.state is api.WorkerState.READY
-            and not 0 < attempt.begin_by_ns < time.monotonic_ns()
+            and not 0 < attempt.begin_by_ns < now_ns
         )
 
     def _idle(self, worker: Worker) -> Connection | None:
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -49,11 +49,14 @@
         self.planner.retune(self.now_ns, told.room, told.dispatchers, told.queue_in_order)
         self.running.know((each.aim_ns for each in told.classes), (each.offered for each in told.classes))
         self.rule = self._cold_rule(told)
-        self.backoff.dispatchers, self.backoff.near = told.dispatchers, told.list_near
+        self.backoff.dispatchers = told.dispatchers
+        self.backoff.near = self.lease.is_local_agent = told.list_near
 
     def _tidy(self, stirred: bool) -> None:
         """What time alone brings; stirred says that there was more than notes."""
         now = self.now_ns
+        if self.held and not self.lease.granted and not self.backoff.failures and self.ask_ns > now:
+            self.ask_ns = now  # no request waits for the spread of the first asks
         if self.settings.asks_list and 0 <= self.ask_ns <= now:
             self.ask_ns = -1
             self.out.append(Watch())
@@ -89,7 +92,7 @@
             if late or (job.risky is not None and not self._may_repeat(job, job.risky)):
                 self._answer(job)
                 continue
-            if now < job.wait_ns:
+            if now < job.wait_ns or now >= self.lease.until_ns:  # or the list may be out of date
                 continue
             skip = job.risky is None and need.memory >= blocked.get(like, math.inf)
             if not skip and self._place(job, told):
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -19,12 +19,21 @@
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
         if event.kind is ListKind.FAILED:
+            self.lease.fail(self.now_ns, event.silent_ns, event.failure)
             self._ask_in(self.backoff.retry_delay_ns(
                 self.now_ns, self.settings.ask_within_ns, event.silent_ns, event.failure))
             return
-        if event.kind is not ListKind.CACHED:  # an ask that is still due would replace a watch that is well
+        if event.kind is ListKind.CACHED:
+            self.lease.inherit(event.lease_until_ns)
+        elif event.kind is ListKind.MOVED:
+            self.lease.move(self.now_ns)
+            return
+        else:
+            self.lease.confirm(self.now_ns)
             self.backoff.reset()
-            self.ask_ns = -1
+            self.ask_ns = -1  # an ask that is still due would replace a watch that is well
+        if event.kind is ListKind.CURRENT:
+            return
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
             restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
--- a/weldquay/policy/state.py
+++ b/weldquay/policy/state.py
@@ -6,6 +6,7 @@
 import random
 
 from weldquay.discovery.backoff import Backoff
+from weldquay.discovery.list_lease import EndlessLease, ListLease
 from weldquay.fleet.slow_start import Rule
 from weldquay.interface import Action, Settings
 from weldquay.estimators.idle_timeout import IdleLimit
@@ -48,6 +49,7 @@
         self.interval = Interval()  # how often workers refresh their reports
         self.ask_ns, self.end_ns = -1, math.inf  # when to subscribe (-1: not); when this dispatcher ends
         self.backoff = Backoff(self.random, settings.dispatchers, settings.list_near)
+        self.lease = ListLease(settings.list_near) if settings.list_expires else EndlessLease()
 
     @staticmethod
     def _cold_rule(told: Settings) -> Rule:
