Break the import circle of net/server.py and net/connection.py

Cause: connection.py imported ClientServer under TYPE_CHECKING, server.py imports Connection. A search of the import graph (ast, TYPE_CHECKING blocks and imports in functions included) found no other circle in weldquay. Change: connection.py states what it needs of its owner as a Protocol, ConnectionOwner, and imports the modules of the types that it names.

--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -12,13 +12,17 @@
 import asyncio
 import os
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import h11
 
 from weldquay.net.calls import Answer, Call, Expected, Overload, Passed, Served
+from weldquay.net.config import Config
+from weldquay.net.counters import Counters
+from weldquay.net.exchange import Exchange
 from weldquay.net.messages import (
     MAX_BODY,
     Body,
@@ -33,9 +37,7 @@
     retry_after,
 )
 from weldquay.net.streams import HUNG_UP, CountingReader, shows, unread
-
-if TYPE_CHECKING:
-    from weldquay.net.server import ClientServer
+from weldquay.net.tasks import Tasks
 
 READ_SIZE = 16 * 1024
 MAX_HEAD = 16 * 1024
@@ -62,12 +64,36 @@
     LEAVING = "leaving"  # the last answer is out; what still comes is dropped
 
 
+class ConnectionOwner(Protocol):
+    """What a connection needs of the server that owns it; `ClientServer` implements it."""
+
+    config: Config
+    counters: Counters
+    exchange: Exchange
+    tasks: Tasks
+    serving: Callable[[], bool]
+    closing: bool  # every connection closes after its answer
+    refusing: bool  # calls are refused
+    classes: dict[bytes, int]  # numbers of the classes that are offered, by name
+    connections: dict[Connection, None]
+    among: dict[State, dict[Connection, None]]  # the connections in each state
+    ahead: int  # bytes that clients have sent ahead of calls that wait
+    most_ahead: int  # bytes; the bound of all clients together
+    in_hand: set[str]  # ids of the calls in hand
+    elsewhere: set[str]  # ids of the calls in hand at an older process
+    pass_on: Callable[[Passed], None] | None  # gives a connection to a newer process; None: there is none
+    pass_back: Callable[[bytes], None]  # gives a call-back that matches nothing to an older process
+
+    def forget_call(self, expected: Expected | None) -> None:
+        """End an adopted call whose client has gone."""
+
+
 class Connection:
     """A connection that a client or a match worker opened; it carries one request at a time."""
 
     def __init__(
         self,
-        server: ClientServer,
+        server: ConnectionOwner,
         reader: CountingReader,
         writer: asyncio.StreamWriter,
         passed: Passed | None,
