Split net/http_channel.py, HTTP without I/O, out of net/connection.py

Change: HttpChannel holds the h11 connection, the current request and its body: bytes in, whole requests out; answers in, bytes out. What cannot be taken in is a Rejection(status, why), which Connection answers as before. No behaviour changes; tests/test_rules.py names MAX_HEAD by its new module.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 from example.toy import Discovery, Message, Server, read_message, request, write_message
 from tests.site import ACCEPTED, Script, Scripted, document, job, site, until
 from weldquay.policy import members as listed
-from weldquay.net import connection, discovery_client, exchange, program, server, workers
+from weldquay.net import connection, discovery_client, exchange, http_channel, program, server, workers
 from weldquay.net.outgoing import Connection
 from weldquay.net.workers import MOST_IDLE, Worker
 
@@ -885,6 +885,6 @@
                 bad.close()
                 writer.write(job(f"c{number}"))
                 assert (await read_message(reader)).body == b"TEXT"
-            assert connection.MAX_HEAD < 20_000
+            assert http_channel.MAX_HEAD < 20_000
 
     play(scenario())
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -23,8 +23,8 @@
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
+from weldquay.net.http_channel import HttpChannel, Progress, Rejection
 from weldquay.net.messages import (
-    MAX_BODY,
     Body,
     Figures,
     MessageError,
@@ -40,18 +40,11 @@
 from weldquay.net.tasks import Tasks
 
 READ_SIZE = 16 * 1024
-MAX_HEAD = 16 * 1024
 MAX_AHEAD = 16 * 1024  # bytes taken in while a call waits; beyond that they count against all clients' share
 MOST_AHEAD = 256 * 1024  # of one client; the rest is dropped, and its connection closes after the answer
 PASS_S = 0.02  # how often a call in hand is looked at that is to be passed on
 MAX_LINGER = 1024 * 1024  # and may send on so much, which is read and dropped
 SLOW_S = 10.0  # a client that takes its last answer slowly has so long; one that takes nothing LINGER_S
-REASONS = {
-    200: b"OK",
-    204: b"No Content",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-}
 HEALTH, CALLBACK = b"/_health", b"/callback"
 
 
@@ -100,10 +93,7 @@
         expected: Expected | None,
     ) -> None:
         self.server, self.reader, self.writer = server, reader, writer
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
-        self.request: h11.Request | None = None
-        self.body: list[Body] = []
-        self.size = 0
+        self.channel = HttpChannel()
         self.call: Call | None = None
         self.ahead = 0  # bytes taken in while a call waits
         self.overrun = False  # more came than is kept: the connection closes after the answer
@@ -156,12 +146,12 @@
             await self.writer.drain()
         if self.server.pass_on is None or self.leaving or self.writer.is_closing():
             return
-        ahead, told = self.http.trailing_data[0] + data, None
+        ahead, told = self.channel.trailing + data, None
         if self.call is not None:
             self.server.counters.add("calls_passed_on")
-            assert self.request is not None
+            assert self.channel.request is not None
             left_ns = self.call.deadline_ns - time.monotonic_ns()
-            ahead = request_again(self.request, b"".join(self.body), left_ns) + ahead
+            ahead = request_again(self.channel.request, bytes(self.channel.body), left_ns) + ahead
             told = exchange.pass_on(self.call)
             self.server.in_hand.discard(self.call.id)
             self.call = None
@@ -239,7 +229,7 @@
             if self.state is State.READING:  # what makes progress is not the first to make room
                 self.server.among[State.READING][self] = self.server.among[State.READING].pop(self)
             if self.call is None:
-                self.http.receive_data(data)
+                self.channel.feed_data(data)
                 self._advance()
             else:
                 self._read_ahead(data)
@@ -262,7 +252,7 @@
             self.overrun = True
         if not self.overrun:
             self._count_ahead(self.ahead + len(data))
-            self.http.receive_data(data)
+            self.channel.feed_data(data)
 
     def _leave(self) -> None:
         """The last answer is written: end the writing half, so that the client sees it, and drop the rest."""
@@ -274,45 +264,20 @@
 
     def _advance(self) -> None:
         """Take in what has been read, up to a call that has to wait for its answer."""
-        try:
-            while self.call is None and not self.leaving and not self.passing:
-                event = self.http.next_event()
-                if isinstance(event, h11.Request):
-                    self._begin(event)
-                elif isinstance(event, h11.Data):
-                    self._collect(event.data)
-                elif isinstance(event, h11.EndOfMessage):
-                    self._finish()
-                elif isinstance(event, h11.ConnectionClosed):
-                    self._leave()
-                else:  # more bytes are needed
-                    if self.http.they_are_waiting_for_100_continue:
-                        self.writer.write(
-                            self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
-                        )
-                    if self.state is State.RESTING and (self.request or self.http.trailing_data[0]):
-                        self._enter(State.READING)
-                    return
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
-
-    def _begin(self, request: h11.Request) -> None:
-        self.request, self.body, self.size = request, [], 0
-        headers = dict(request.headers)
-        if b"transfer-encoding" in headers and (
-            b"content-length" in headers or request.http_version < b"1.1"
-        ):
-            # Guards against a request hidden in a body: where it ends depends on which header one believes.
-            self._reject(400, "the length of the body is ambiguous")
-        elif int(headers.get(b"content-length", b"0")) > MAX_BODY:
-            self._reject(413, "the body is too large")
-
-    def _collect(self, data: bytes | bytearray) -> None:
-        self.size += len(data)
-        if self.size > MAX_BODY:
-            self._reject(413, "the body is too large")
-        else:
-            self.body.append(memoryview(data))
+        while self.call is None and not self.leaving and not self.passing:
+            progress = self.channel.advance()
+            if isinstance(progress, Rejection):
+                self._reject(progress.status, progress.why)
+            elif progress is Progress.REQUEST:
+                self._finish()
+            elif progress is Progress.CLOSED:
+                self._leave()
+            else:
+                if interim := self.channel.interim():
+                    self.writer.write(interim)
+                if self.state is State.RESTING and (self.channel.request or self.channel.trailing):
+                    self._enter(State.READING)
+                return
 
     def _reject(self, status: int, why: str) -> None:
         """Answer what cannot be taken in, and close: a client that sends such has nothing else to say."""
@@ -321,15 +286,15 @@
 
     def _last(self, status: int, body: bytes) -> None:
         """Write an answer after which the connection closes, past h11, which costs more than the rest."""
-        head = self.request is not None and self.request.method == b"HEAD"
+        request = self.channel.request
+        head = request is not None and request.method == b"HEAD"
         self.writer.write(last_answer(status, body, head))
         self._leave()
 
     def _finish(self) -> None:
         """Act on a whole request."""
-        request = self.request
+        request, body = self.channel.request, self.channel.body
         assert request is not None
-        body: Body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
         path = request.target.split(b"?", 1)[0]
         job_class = self.server.classes.get(class_name(path))
         try:
@@ -370,7 +335,7 @@
             self._reject(409, "a call with this id is in hand")
             return
         job = job_of(request, body)
-        self._count_ahead(len(self.http.trailing_data[0]))
+        self._count_ahead(len(self.channel.trailing))
         self.call = self.server.exchange.open(job_class, told, job, self._answer)
         if self.call is None:
             self._overload(self.server.config.settings.max_retry_after_ns)
@@ -389,7 +354,7 @@
             self._overload(answer.retry_after_ns)
         else:
             self._write(502, b"failed")
-        if self.state is State.RESTING and self.http.trailing_data[0]:
+        if self.state is State.RESTING and self.channel.trailing:
             self.server.tasks.start(self._go_on(), "the next call of a connection")
 
     def _overload(self, wait_ns: int) -> None:
@@ -414,16 +379,8 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         if self.server.closing or self.overrun:
             headers.append((b"Connection", b"close"))
-        data = (
-            self.http.send(h11.Response(status_code=status, headers=headers, reason=REASONS[status])) or b""
-        )
-        if body:
-            data += self.http.send(h11.Data(data=body)) or b""
-        data += self.http.send(h11.EndOfMessage()) or b""
-        self.writer.write(data)
-        self.request, self.body = None, []
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
-            self.http.start_next_cycle()
+        self.writer.write(self.channel.respond(status, body, headers))
+        if self.channel.begin_next():
             self._enter(State.RESTING)
         else:
             self._leave()
--- a/weldquay/net/server.py
+++ b/weldquay/net/server.py
@@ -13,10 +13,11 @@
 
 from weldquay.limits import BASE_MB, BYTES_EACH, RESERVE
 from weldquay.net.config import Config
-from weldquay.net.connection import MAX_HEAD, READ_SIZE, Connection, State
+from weldquay.net.connection import READ_SIZE, Connection, State
 from weldquay.net.counters import Counters
 from weldquay.net.calls import Answer, Expected, Passed
 from weldquay.net.exchange import Exchange
+from weldquay.net.http_channel import MAX_HEAD
 from weldquay.net.messages import figures, job_of
 from weldquay.net.streams import COMING, CountingReader, polled
 from weldquay.net.tasks import Tasks
