Make weldquay/interface.py a package: settings, events, actions

Change: weldquay/interface/ has settings.py (Effect, Group, JobClass, Settings), events.py (what a step is told) and actions.py (what it asks for); the package itself names all of them, so that imports elsewhere stay as they are. Definitions are moved as they were: the syntax trees of all 37 classes and aliases are equal before and after.

--- a/weldquay/interface.py
+++ b/weldquay/interface/events.py
@@ -1,34 +1,13 @@
-"""The interface of the decision module: settings, events in, actions out.
-
-Times are integer nanoseconds.  Ids of requests, workers, zones, cells and machine kinds are plain numbers
-that mean nothing beyond being equal or not.  An optional figure that is not known is None.
-"""
+"""Events: what the decision module is told in a step."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:  # its library is loaded only where room is held
-    from weldquay.planning.figures import Figures
-
-
-class Effect(Enum):
-    """What a second run of a job would do."""
-
-    SAFE = "safe"
-    KEYED = "keyed"
-    UNSAFE = "unsafe"
+from typing import Any
 
-
-class Group(Enum):
-    """The workers that drop the repeats of a keyed job."""
-
-    ALL = "all"
-    ZONE = "zone"
-    CELL = "cell"
+from weldquay.interface.settings import Settings
 
 
 class Outcome(Enum):
@@ -76,59 +55,6 @@
     BUSY = "busy"
 
 
-@dataclass(frozen=True, slots=True)
-class JobClass:
-    """One class of jobs.  In time means within aim_ns plus stretch times the job's own running time."""
-
-    aim_ns: int
-    give_up_ns: int
-    effect: Effect
-    group: Group = Group.ALL
-    window_ns: int = 0
-    worth: float = 1.0
-    late_value: float = 0.0
-    stretch: float = 0.0
-    kind: int = -1
-    stream: bool = False
-    offered: bool = True  # False: a reload has dropped it, and no call names it any more
-
-
-@dataclass(frozen=True, slots=True)
-class Settings:
-    """What a dispatcher is told at its start."""
-
-    classes: tuple[JobClass, ...]
-    dispatchers: int = 1
-    me: int = 0
-    zone: int = 0
-    tick_ns: int = 1_000_000
-    asks_list: bool = False
-    list_near: bool = False  # an agent on the dispatcher's own machine has the list: asking it costs nothing
-    ask_within_ns: int = 10_000_000_000
-    may_cancel: bool = False
-    may_probe: bool = False
-    may_tell: bool = False
-    may_duplicate: bool = False
-    max_attempts: int = 1
-    max_retry_after_ns: int = 0
-    progress_ns: int = 0
-    tells_start: bool = False
-    queue_in_order: bool = False  # a worker's first waiting job waits until it fits, and all others with it
-    conn_idle_ns: int = 15_000_000_000
-    reports_in_answers: bool = False
-    reports_in_probes: bool = False
-    worth_by_work: bool = False
-    cold_share: float = 1.0
-    warm_after_ns: int = 0
-    fall_multiple: float = 1.0
-    overload_for_ns: int = 0
-    probe_price: float = 0.0
-    cross_zone_price: float = 0.0
-    waste_price: float = 0.0
-    handshake_price: float = 0.0
-    room: Figures | None = None  # how room is held for large jobs; None: not at all
-
-
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """A worker's own figures, as far as it gives them."""
@@ -307,98 +233,3 @@
     | Recalled
     | Adopted
 )
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Start an attempt; timeout_ns 0 means until the client gives up.
-
-    begin_by_ns: begun later on the steps' clock, it could repeat an effect and ends as moot; 0: no limit.
-    """
-
-    request: int
-    worker: int
-    timeout_ns: int = 0
-    begin_by_ns: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
-    """Final answer: not done, and trying again is harmless."""
-
-    request: int
-    retry_after_ns: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Fail:
-    """Final answer: failed; nothing is promised about the effect."""
-
-    request: int
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """Stop waiting for one attempt."""
-
-    request: int
-    attempt: int
-
-
-@dataclass(frozen=True, slots=True)
-class SetTimer:
-    """Ask for a TimerDue event after delay_ns."""
-
-    delay_ns: int
-    token: int
-
-
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Ask a worker for its figures."""
-
-    worker: int
-
-
-@dataclass(frozen=True, slots=True)
-class CloseIdle:
-    """Close this dispatcher's idle connections to a worker."""
-
-    worker: int
-
-
-@dataclass(frozen=True, slots=True)
-class Watch:
-    """Subscribe to changes of the worker list."""
-
-
-@dataclass(frozen=True, slots=True)
-class Tell:
-    """Send bytes to one other dispatcher, or to all where peer is None."""
-
-    data: bytes
-    peer: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Log:
-    """A line for the staff."""
-
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class HoldEnded:
-    """Room held for a job is held no more: placed, queued at its worker, or given up for a reason.
-
-    held_ns: for how long it was held; late_ns: how much later than expected at first that is.
-    """
-
-    request: int
-    worker: int
-    why: str
-    held_ns: int
-    late_ns: int
-
-
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Watch | Tell | Log | HoldEnded
