--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from weldquay import interface as api
+from weldquay.interface import Effect, Group
 from weldquay.policy.dispatcher import Dispatcher
 
 MS = 1_000_000
@@ -88,3 +89,13 @@
 def finals(actions: list[api.Action]) -> list[api.Action]:
     """The final answers among actions."""
     return [action for action in actions if isinstance(action, (api.Refuse, api.Fail))]
+
+
+def started(effect: Effect, group: Group = Group.ALL, **changes: Any) -> tuple[Drive, api.Send]:
+    """A job of one attempt on one of four workers."""
+    rules = job_class(effect=effect, group=group, window_ns=4 * SECOND, **changes)
+    drive = Drive(settings(classes=(rules,)), workers=4)
+    for worker in drive.worker_ids:
+        drive.report(worker, 3.0)
+    (send,) = sends(drive.step(api.Request(7, 0, 10 * SECOND)))
+    return drive, send
