--- a/tests/site.py
+++ b/tests/site.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -145,3 +145,8 @@
             server.stop()
     assert not failures and not program.counters.counts["connections_broken"]
     assert not program.counters.counts["steps_failed"] and not program.counters.counts["calls_overdue"]
+
+
+def play(scenario: Coroutine[Any, Any, None]) -> None:
+    """Run a scenario in an event loop of its own."""
+    asyncio.run(scenario)
