--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -12,20 +12,18 @@
 from tests.helpers import MS, SECOND, Drive, sends, settings
 
 
-@pytest.mark.parametrize("state", [api.WorkerState.DRAINING, api.WorkerState.GONE])
-def test_draining_and_gone_get_nothing(state: api.WorkerState) -> None:
-    """Nothing new goes to a worker from the step on that tells of its drain."""
+@pytest.mark.parametrize(
+    ("kind", "entry"),
+    [
+        (api.ListKind.DELTA, api.WorkerEntry(1, api.WorkerState.DRAINING)),
+        (api.ListKind.DELTA, api.WorkerEntry(1, api.WorkerState.GONE)),
+        (api.ListKind.FULL, api.WorkerEntry(2, api.WorkerState.READY, cell=1)),
+    ],
+)
+def test_draining_gone_and_absent_get_nothing(kind: api.ListKind, entry: api.WorkerEntry) -> None:
+    """Nothing new goes to a worker from the step on that tells of its drain, or whose list is without it."""
     drive = Drive(settings(may_probe=False), workers=2)
-    drive.step(api.Membership(api.ListKind.DELTA, (api.WorkerEntry(1, state),)))
-    actions = drive.step(*[api.Request(n, 0, 10 * SECOND) for n in range(4)])
-    assert {send.worker for send in sends(actions)} == {2}
-
-
-def test_absent_from_a_full_list_is_gone() -> None:
-    """A full list without a worker removes it."""
-    drive = Drive(settings(may_probe=False), workers=2)
-    drive.worker_ids = [2]
-    drive.step(drive.list_of(api.ListKind.FULL))
+    drive.step(api.Membership(kind, (entry,)))
     actions = drive.step(*[api.Request(n, 0, 10 * SECOND) for n in range(4)])
     assert {send.worker for send in sends(actions)} == {2}
 
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -64,32 +64,32 @@
 ]
 
 
-def test_bad_input_behind_a_call_is_answered_and_closes() -> None:
-    """It was answered, but the connection stayed open: its reader waited for bytes it would not take."""
+HIDDEN = b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + job("hidden")
 
-    async def scenario() -> None:
-        async with site() as here:
-            reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
-            writer.write(job() + b"nonsense\r\n\r\n")
-            statuses = [(await read_message(reader)).start.split()[1] for _ in range(2)]
-            assert statuses == ["200", "400"] and await reader.read() == b""
-            writer.close()
-
-    play(scenario())
 
+@pytest.mark.parametrize(
+    ("data", "statuses"),
+    [
+        (job() + b"nonsense\r\n\r\n", ["200", "400"]),
+        (HEAD + b"X-Correlation-Id: c1\r\nContent-Length: 99\r\n" + HIDDEN, ["400"]),
+        (b"POST /lookup HTTP/1.0\r\nHost: a\r\nX-Correlation-Id: c1\r\n" + HIDDEN, ["400"]),
+    ],
+    ids=["behind a call", "a length told twice", "an encoding in HTTP/1.0"],
+)
+def test_bad_input_is_answered_and_closes_and_hides_no_call(data: bytes, statuses: list[str]) -> None:
+    """Behind a call the connection stayed open: its reader waited for bytes it would not take.
 
-@pytest.mark.parametrize("version", ["1.1", "1.0"])
-def test_a_call_hidden_in_a_body_is_not_passed_on(version: str) -> None:
-    """Content-Length with Transfer-Encoding is refused and its connection closed; 1.0 knows no encodings."""
+    A call hidden in a body whose length is ambiguous is not passed on.
+    """
 
     async def scenario() -> None:
         async with site() as here:
-            hidden, length = job("hidden"), "" if version == "1.0" else "Content-Length: 99\r\n"
-            head = f"POST /lookup HTTP/{version}\r\nHost: a\r\nX-Correlation-Id: c1\r\n{length}"
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
-            writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden)
-            assert (await read_message(reader)).start.split()[1] == "400" and await reader.read() == b""
-            assert here.workers[0].methods() == [] and not here.program.counters.counts["calls"]
+            writer.write(data)
+            assert [(await read_message(reader)).start.split()[1] for _ in statuses] == statuses
+            assert await reader.read() == b""
+            assert here.workers[0].methods() == ["POST"] * statuses.count("200")
+            assert here.program.counters.counts["calls"] == statuses.count("200")
             writer.close()
 
     play(scenario())
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -14,38 +14,35 @@
 NEVER_RAN = [Outcome.FULL, Outcome.CONNECT_FAILED]
 
 
-@pytest.mark.parametrize("effect", list(Effect))
-@pytest.mark.parametrize("outcome", NEVER_RAN)
-def test_proven_not_run_is_drawn_again(effect: Effect, outcome: Outcome) -> None:
-    """Any class may go elsewhere after an attempt that never ran."""
+@pytest.mark.parametrize(
+    ("effect", "outcome"),
+    [
+        *((effect, outcome) for outcome in NEVER_RAN for effect in Effect),
+        *((Effect.SAFE, outcome) for outcome in RISKY),
+    ],
+)
+def test_what_never_ran_or_is_safe_is_drawn_again(effect: Effect, outcome: Outcome) -> None:
+    """Any class may go elsewhere after an attempt that never ran; a safe job may run twice."""
     drive, send = started(effect)
     (again,) = sends(drive.end(send, outcome))
     assert again.request == 7 and again.worker != send.worker
 
 
-@pytest.mark.parametrize("outcome", RISKY)
-def test_safe_is_drawn_again(outcome: Outcome) -> None:
-    """A safe job may run twice."""
-    drive, send = started(Effect.SAFE)
-    assert len(sends(drive.end(send, outcome))) == 1
-
+@pytest.mark.parametrize(
+    ("effect", "outcome"),
+    [*((Effect.UNSAFE, outcome) for outcome in RISKY), (Effect.SAFE, Outcome.REJECTED)],
+)
+def test_what_must_not_be_sent_again_fails_at_once(effect: Effect, outcome: Outcome) -> None:
+    """No second attempt and no refusal of an unsafe job that may have run, nor of one that nobody can use.
 
-@pytest.mark.parametrize("outcome", RISKY)
-def test_unsafe_fails_at_once(outcome: Outcome) -> None:
-    """No second attempt and no refusal of an unsafe job that may have run."""
-    drive, send = started(Effect.UNSAFE)
+    A client told to repeat a job that its worker rejected would do so for ever.
+    """
+    drive, send = started(effect)
     actions = drive.end(send, outcome)
     assert finals(actions) == [api.Fail(7)] and not sends(actions)
     assert not finals(drive.run(12 * SECOND))
 
 
-def test_a_rejected_job_fails_and_goes_nowhere_else() -> None:
-    """A worker could not use it, nor could another: a client told to repeat it would do so for ever."""
-    drive, send = started(Effect.SAFE)
-    actions = drive.end(send, Outcome.REJECTED)
-    assert finals(actions) == [api.Fail(7)] and not sends(actions)
-
-
 def test_a_dispatcher_that_ends_takes_only_what_can_end_with_it() -> None:
     """A long job is refused at once, for another dispatcher; what is out is answered by the end."""
     drive, send = started(Effect.SAFE)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -26,6 +28,21 @@
     writer.write(write_message("HTTP/1.1 503 Busy", b"", "X-Unprocessed: 1"))
 
 
+async def reject(message: Message, writer: asyncio.StreamWriter) -> None:
+    """A script: the worker cannot use the job, and no other could."""
+    writer.write(write_message("HTTP/1.1 400 Bad Request"))
+
+
+async def accept(message: Message, writer: asyncio.StreamWriter) -> None:
+    """A script: take the job and say no more."""
+    writer.write(ACCEPTED)
+
+
+async def keep_silent(message: Message, writer: asyncio.StreamWriter) -> None:
+    """A script: no answer at all."""
+    await asyncio.sleep(3600)
+
+
 def test_a_call_is_passed_on_unchanged_and_answered_with_the_result() -> None:
     """Method, path, query, body and id reach the worker; its result is the answer's body."""
 
@@ -44,14 +61,23 @@
     play(scenario())
 
 
-@pytest.mark.parametrize(("path", "status"), [("/lookup", "503"), ("/import", "502")])
-def test_a_silent_worker_does_not_keep_a_call_past_its_deadline(path: str, status: str) -> None:
-    """Exactly one answer by the deadline; a job that may have run and must not run twice is not refused."""
+@pytest.mark.parametrize(
+    ("path", "script", "left_ms", "status"),
+    [("/lookup", accept, 400, "503"), ("/import", accept, 400, "502"), ("/lookup", keep_silent, 200, "503")],
+)
+def test_a_silent_worker_does_not_keep_a_call_past_its_deadline(
+    path: str, script: Script, left_ms: int, status: str
+) -> None:
+    """Exactly one answer by the deadline; a job that may have run and must not run twice is not refused.
+
+    The worker is told by DELETE, also before its 202: that may be on its way, and closing the connection
+    alone would leave the job running.
+    """
 
     async def scenario() -> None:
         async with site() as here:
-            here.workers[0].script = here.workers[0].accept
-            answer = await here.post(path=path, left_ms=400)  # site() checks that it was not overdue
+            here.workers[0].script = script
+            answer = await here.post(path=path, left_ms=left_ms)  # site() checks that it was not overdue
             assert answer.start.split()[1] == status
             await here.workers[0].until("POST", "DELETE")
 
@@ -60,10 +86,16 @@
 
 @pytest.mark.parametrize(
     ("path", "script", "posts"),
-    [("/lookup", hang_up, 2), ("/import", hang_up, 1), ("/lookup", turn_away, 2), ("/import", turn_away, 2)],
+    [
+        ("/lookup", hang_up, 2),
+        ("/import", hang_up, 1),
+        ("/lookup", turn_away, 2),
+        ("/import", turn_away, 2),
+        ("/lookup", reject, 1),
+    ],
 )
 def test_only_what_may_run_again_is_sent_again(path: str, script: Script, posts: int) -> None:
-    """A break before the 202 may have run; a job handed back unstarted has not."""
+    """A break before the 202 may have run; a job handed back unstarted has not; one rejected suits nobody."""
 
     async def scenario() -> None:
         async with site(workers=2) as here:
@@ -82,53 +114,33 @@
     play(scenario())
 
 
-def test_a_job_that_a_worker_cannot_use_fails_without_another_try() -> None:
-    """It was sent to five workers, one after another; each had to read it and turn it away."""
-
-    async def unusable(message: Message, writer: asyncio.StreamWriter) -> None:
-        writer.write(write_message("HTTP/1.1 400 Bad Request"))
-
-    async def scenario() -> None:
-        async with site(workers=2) as here:
-            for worker in here.workers:
-                worker.script = unusable
-            assert (await here.post()).start.split()[1] == "502"
-            assert sum(worker.methods().count("POST") for worker in here.workers) == 1
-
-    play(scenario())
-
-
-def test_a_refused_connection_never_ran() -> None:
-    """A job that must not run twice goes elsewhere where nothing listens."""
-
-    async def scenario() -> None:
-        async with site(workers=2, caps={"probes": False}) as here:
-            here.workers[0].stop()
-            answers = [await here.post(f"c{number}", "/import") for number in range(4)]
-            assert {answer.start.split()[1] for answer in answers} == {"200"}
-            assert here.workers[1].methods() == ["POST"] * 4
-
-    play(scenario())
+@contextmanager
+def cut_off() -> Iterator[str]:
+    """The address of a machine that is cut off: connections to it neither come up nor fail."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(0)  # one connection fills its queue; the system leaves further ones unanswered
+        with socket.create_connection(sock.getsockname()):
+            yield "{}:{}".format(*sock.getsockname())
 
 
-def test_a_connection_that_never_comes_up_never_ran() -> None:
-    """A machine that is cut off says nothing: after the connect time-out the job goes elsewhere."""
+@pytest.mark.parametrize("caps", [{}, {"connect_timeout_ns": 50_000_000}], ids=["refused", "cut off"])
+def test_a_connection_that_does_not_come_up_never_ran(caps: dict[str, int]) -> None:
+    """A job that must not run twice goes elsewhere: where nothing listens, and after a connect time-out."""
 
     async def scenario() -> None:
-        async with site(workers=2, caps={"probes": False, "connect_timeout_ns": 50_000_000}) as here:
-            cut_off = socket.socket()
-            cut_off.bind(("127.0.0.1", 0))
-            cut_off.listen(0)  # one connection fills its queue; the system leaves further ones unanswered
-            filling = socket.create_connection(cut_off.getsockname())
-            here.discovery.members["w0"]["host_port"] = "{}:{}".format(*cut_off.getsockname())
-            await here.discovery.change(here.workers[1], "SERVING")
-            await until(lambda: here.program.discovery.revision == here.discovery.revision)
-            answers = [await here.post(f"c{number}", "/import") for number in range(4)]
+        async with site(workers=2, caps={"probes": False, **caps}) as here:
+            with cut_off() as address:
+                if caps:
+                    here.discovery.members["w0"]["host_port"] = address
+                    await here.discovery.change(here.workers[1], "SERVING")
+                    await until(lambda: here.program.discovery.revision == here.discovery.revision)
+                else:
+                    here.workers[0].stop()
+                answers = [await here.post(f"c{number}", "/import") for number in range(4)]
             assert {answer.start.split()[1] for answer in answers} == {"200"}
             assert here.workers[1].methods() == ["POST"] * 4
             assert here.program.counters.counts["connections_failed"] >= 1
-            filling.close()
-            cut_off.close()
 
     play(scenario())
 
@@ -188,21 +200,6 @@
     play(scenario())
 
 
-def test_an_attempt_given_up_before_its_202_is_deleted_too() -> None:
-    """The 202 may be on its way: closing the connection alone would leave the job running."""
-
-    async def silent(message: Message, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(3600)
-
-    async def scenario() -> None:
-        async with site() as here:
-            here.workers[0].script = silent
-            assert (await here.post(left_ms=200)).start.split()[1] == "503"
-            await here.workers[0].until("POST", "DELETE")
-
-    play(scenario())
-
-
 @pytest.mark.parametrize("begun", [False, True])
 def test_a_connection_that_falls_silent_holds_no_job_that_may_run_again(
     begun: bool, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_watch_failures.py
+++ b/tests/test_watch_failures.py
@@ -11,17 +11,27 @@
 from weldquay.net import discovery_client
 
 
+SHORT = {"BEAT_S": 0.05, "LATE_S": 0.05, "ANSWER_S": 0.05}
+
+
 @pytest.mark.parametrize(
-    "answer",
+    ("answer", "drips", "limits"),
     [
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",  # and no heartbeat after it
-        write_message("HTTP/1.1 503 Busy"),
-        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n",
-        b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"revision":7,"mem',
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", False, SHORT),  # no heartbeat after it
+        (write_message("HTTP/1.1 503 Busy"), False, SHORT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", False, SHORT),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"revision":7,"mem', False, SHORT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n{", True, {"VALUE_S": 0.2}),
     ],
+    ids=["silent", "busy", "nonsense", "cut off", "no end"],
 )
-def test_a_watch_that_fails_is_asked_for_anew(answer: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Discovery that is silent (its machine vanished), busy or talks nonsense; calls go on meanwhile."""
+def test_a_watch_that_fails_is_asked_for_anew(
+    answer: bytes, drips: bool, limits: dict[str, float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery that is silent (its machine vanished), busy or talks nonsense; calls go on meanwhile.
+
+    drips: bytes keep coming, but no line is ever whole; what changes meanwhile would never be received.
+    """
 
     class Failing(Server):
         asked = 0
@@ -29,6 +39,9 @@
         async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
             self.asked += 1
             writer.write(answer)
+            while drips and not writer.is_closing():
+                writer.write(b" ")
+                await asyncio.sleep(0.02)
 
     async def scenario() -> None:
         failing = Failing()
@@ -37,29 +50,6 @@
             await until(lambda: failing.asked >= 2)
             assert here.program.counters.counts["lists_failed"] >= 1
 
-    for name in ("BEAT_S", "LATE_S", "ANSWER_S"):
-        monkeypatch.setattr(discovery_client, name, 0.05)
-    play(scenario())
-
-
-def test_a_line_that_never_ends_is_no_watch(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Bytes keep coming, but no line is ever whole: what changes meanwhile would never be heard of."""
-
-    class Dripping(Server):
-        asked = 0
-
-        async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
-            self.asked += 1
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n{")
-            while not writer.is_closing():
-                writer.write(b" ")
-                await asyncio.sleep(0.02)
-
-    async def scenario() -> None:
-        dripping = Dripping()
-        async with site(discovery=dripping) as here:
-            assert (await here.post()).body == b"TEXT"
-            await until(lambda: dripping.asked >= 2)
-
-    monkeypatch.setattr(discovery_client, "VALUE_S", 0.2)
+    for name, limit_s in limits.items():
+        monkeypatch.setattr(discovery_client, name, limit_s)
     play(scenario())
