Name the parts of net/streams.py as poll(2) and asyncio do

CountingReader.waiting -> buffered, COMING -> READABLE, polled -> poll_now, shows -> has_event; docstrings in plain technical English.

--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -36,7 +36,7 @@
     request_again,
     retry_after,
 )
-from weldquay.net.streams import HUNG_UP, CountingReader, shows, unread
+from weldquay.net.streams import HUNG_UP, CountingReader, has_event, unread
 from weldquay.net.tasks import Tasks
 
 READ_SIZE = 16 * 1024
@@ -138,7 +138,7 @@
             data += more
         server, exchange = self.server, self.server.exchange
         while self.call is not None and (server.pass_on is None or not exchange.may_pass(self.call)):
-            if shows(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
+            if has_event(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
                 return
             await asyncio.sleep(PASS_S)
         if self.call is None:
--- a/weldquay/net/outgoing.py
+++ b/weldquay/net/outgoing.py
@@ -94,7 +94,7 @@
             return False
         if self.reader.at_eof() or self.writer.is_closing():
             return False
-        if self.reader.waiting or self.http.trailing_data[0]:
+        if self.reader.buffered or self.http.trailing_data[0]:
             return False  # what comes behind an answer would pass for the answer to the next request
         self.http.start_next_cycle()
         self.writer.transport.pause_reading()  # type: ignore[attr-defined]
--- a/weldquay/net/server.py
+++ b/weldquay/net/server.py
@@ -19,7 +19,7 @@
 from weldquay.net.exchange import Exchange
 from weldquay.net.http_channel import MAX_HEAD
 from weldquay.net.messages import figures, job_of
-from weldquay.net.streams import COMING, CountingReader, polled
+from weldquay.net.streams import READABLE, CountingReader, poll_now
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
@@ -198,7 +198,11 @@
         self.closing = self.refusing = True
         try:
             async with asyncio.timeout(linger_s):
-                while self.listener is not None and self.server is not None and polled(self.listener, COMING):
+                while (
+                    self.listener is not None
+                    and self.server is not None
+                    and poll_now(self.listener, READABLE)
+                ):
                     await asyncio.sleep(LOOK_S)
                 self.stop_accepting()
                 while self.connections:
--- a/weldquay/net/streams.py
+++ b/weldquay/net/streams.py
@@ -1,7 +1,7 @@
-"""Streams whose owner can see what has come and was not taken in yet: at its reader, and at the system.
+"""Streams that show which bytes have arrived and are not read yet, in the reader's and the system's buffer.
 
-Guards against an end that crosses bytes on their way: a connection is only shut, or used again, where nothing
-waits on it.
+A connection is closed or reused only where it has no such bytes.  Guards against closing a connection at the
+moment when the other side writes to it.
 """
 
 from __future__ import annotations
@@ -12,49 +12,49 @@
 from collections.abc import Iterable
 from typing import SupportsIndex
 
-COMING = select.POLLIN
+READABLE = select.POLLIN
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class CountingReader(asyncio.StreamReader):
-    """A reader that tells how many bytes wait in it."""
+    """A reader that counts the bytes in its buffer."""
 
     def __init__(self, limit: int) -> None:
         super().__init__(limit=limit)
-        self.waiting = 0
+        self.buffered = 0
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
-        """Take in what has come."""
+        """Add received bytes to the buffer."""
         data = bytes(data)
-        self.waiting += len(data)
+        self.buffered += len(data)
         super().feed_data(data)
 
     async def read(self, n: int = -1) -> bytes:
-        """Hand out what has come."""
+        """Return up to n bytes of the buffer; b"" at the end of the stream."""
         data = await super().read(n)
-        self.waiting -= len(data)
+        self.buffered -= len(data)
         return data
 
 
-def polled(sock: socket.socket, events: int) -> bool:
-    """True where the system tells one of these of a socket; a closed one must not be asked."""
+def poll_now(sock: socket.socket, events: int) -> bool:
+    """True where one of the poll events is set on a socket, without waiting; ValueError for a closed one."""
     poll = select.poll()
     poll.register(sock.fileno(), events)
     return any(found & events for _, found in poll.poll(0))
 
 
-def shows(writer: asyncio.StreamWriter, events: int) -> bool:
-    """The same of a connection; nothing once it is closed here."""
-    return not writer.is_closing() and polled(writer.get_extra_info("socket"), events)
+def has_event(writer: asyncio.StreamWriter, events: int) -> bool:
+    """True where one of the poll events is set on a connection; False once it is closed on this side."""
+    return not writer.is_closing() and poll_now(writer.get_extra_info("socket"), events)
 
 
 def unread(reader: CountingReader, writer: asyncio.StreamWriter) -> bool:
-    """True where bytes have come, or the other side's end, that nobody has taken in."""
-    return reader.waiting > 0 or shows(writer, COMING)
+    """True where bytes, or the end of the stream, have arrived and are not read yet."""
+    return reader.buffered > 0 or has_event(writer, READABLE)
 
 
 async def connect(host: str, port: int, limit: int) -> tuple[CountingReader, asyncio.StreamWriter]:
-    """A connection to a server; OSError where none comes up."""
+    """Connect to a server; limit: bytes of the reader's buffer.  Raises OSError where that fails."""
     loop, reader = asyncio.get_running_loop(), CountingReader(limit)
     protocol = asyncio.StreamReaderProtocol(reader)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
