Give net/operators.py the field's standard names and plain docstrings

MOST_CALLERS -> MAX_CALLERS, WAITING -> LISTEN_BACKLOG, CALL_S -> REQUEST_TIMEOUT_S, _call -> _handle, _unknown -> _not_found. Paths, counters, the log line and the answers stay as they were; tests/test_operators.py follows the names.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -20,7 +20,7 @@
     async def scenario() -> None:
         async with site() as here:
             idle = []
-            for _ in range(3 * operators.MOST_CALLERS):
+            for _ in range(3 * operators.MAX_CALLERS):
                 idle.append(await asyncio.open_connection("127.0.0.1", here.program.operators.port))
                 idle[-1][1].write(b"POST /control/in-")
             await until(lambda: here.program.exchange.listed)
@@ -32,7 +32,7 @@
             address = f"127.0.0.1:{here.program.operators.port}"
             assert (await request(address, b"nonsense\r\n\r\n")).start.split()[1] == "400"
 
-    monkeypatch.setattr(operators, "CALL_S", 0.2)
+    monkeypatch.setattr(operators, "REQUEST_TIMEOUT_S", 0.2)
     asyncio.run(scenario())
 
 
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -1,4 +1,4 @@
-"""The operators' calls: a listener of their own, one call a connection."""
+"""The operators' listener: one request on each connection."""
 
 from __future__ import annotations
 
@@ -20,66 +20,66 @@
 
 READ_SIZE = 4 * 1024
 MAX_HEAD = 4 * 1024
-WAITING = 64  # connections in the system's queue; beyond that they come again only after a second
-MOST_CALLERS = 8  # connections; beyond that the one that has waited longest makes room
-CALL_S = 2.0  # from connecting to the last byte of the answer
+LISTEN_BACKLOG = 64  # connections in the system's queue; beyond it a client's SYN is repeated after a second
+MAX_CALLERS = 8  # connections; beyond it the oldest one is closed
+REQUEST_TIMEOUT_S = 2.0  # from the connection's start to the last byte of the answer
 
 
 class UnknownOperation(OperatorError):
-    """A path or method that is no operators' call."""
+    """A path or method that the operators' listener does not have."""
 
     remedy = "docs/on-call.md lists the calls; POST changes something, GET only looks"
 
 
 class UnknownWorker(OperatorError):
-    """An id that nobody has."""
+    """A worker id that neither a list nor a ban has named."""
 
     remedy = "use the id as discovery's list gives it; one that was never listed cannot be taken out"
 
 
-def _unknown(error: OperatorError) -> bytes:
-    """The answer to a call that names nobody or nothing."""
+def _not_found(error: OperatorError) -> bytes:
+    """A 404 answer with the error as JSON."""
     return last_answer(404, ujson.dumps(error.told()).encode() + b"\n")
 
 
 class Control(Protocol):
-    """What operators may ask for; each answers whether it was done."""
+    """What operators can ask of the program; each method returns whether it was done."""
 
     def ready(self) -> bool:
-        """True once calls can be served here."""
+        """True once requests can be served."""
 
     def out_of_service(self) -> bool:
-        """Empty the dispatcher."""
+        """Have clients leave; new requests are refused after a while."""
 
     def in_service(self) -> bool:
-        """Take clients again."""
+        """Accept clients again."""
 
     def ban(self, worker_id: str, on: bool) -> bool:
-        """Take a match worker out, or (on False) put it back; False where nobody has that id."""
+        """Ban a match worker, or (on False) lift its ban; False for an id that was never named."""
 
 
 class Operators:
-    """The operators' listener."""
+    """The operators' listener and its connections."""
 
     def __init__(self, address: Address | None, counters: Counters, control: Control) -> None:
         self.address, self.counters, self.control = address, counters, control
-        self.callers: dict[asyncio.StreamWriter, None] = {}  # the longest there first
+        self.callers: dict[asyncio.StreamWriter, None] = {}  # the oldest first
         self.tasks = Tasks()
         self.server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        """Open the listener where an address is told."""
+        """Open the listener, if it has an address; OSError where that is not available."""
         if self.address is not None:
             family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
             sock = socket.create_server(self.address, family=family)
             self.server = await asyncio.start_server(
-                self._accept, sock=sock, limit=READ_SIZE, backlog=MOST_CALLERS
+                self._accept, sock=sock, limit=READ_SIZE, backlog=MAX_CALLERS
             )
-            sock.listen(WAITING)  # asyncio takes as many in one turn as its backlog says
+            sock.listen(LISTEN_BACKLOG)  # asyncio accepts up to its own backlog in one turn
 
     @property
     def port(self) -> int:
-        """The port that the listener has."""
+        """The listener's port."""
         assert self.server is not None
         return int(self.server.sockets[0].getsockname()[1])
 
@@ -91,21 +91,21 @@
             writer.transport.abort()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        # Guards against callers that complete nothing: the one that came first makes room.
-        if len(self.callers) >= MOST_CALLERS:
+        # Guards against clients that never complete a request: the oldest connection is closed.
+        if len(self.callers) >= MAX_CALLERS:
             self.counters.add("operators_evicted")
             oldest = next(iter(self.callers))
             del self.callers[oldest]
             oldest.transport.abort()
         self.callers[writer] = None
         try:
-            async with asyncio.timeout(CALL_S):
-                writer.write(await self._call(reader))
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                writer.write(await self._handle(reader))
                 await writer.drain()
                 writer.write_eof()
-                while await reader.read(READ_SIZE):  # closed with bytes unread, it would take its answer back
+                while await reader.read(READ_SIZE):  # a close with unread bytes resets: the answer is lost
                     pass
-        except (OSError, EOFError):  # a TimeoutError is an OSError: nothing is owed any more
+        except (OSError, EOFError):  # the client has gone, or was too slow (TimeoutError is an OSError)
             pass
         except Exception:
             log.exception("an operator's call failed")
@@ -114,8 +114,8 @@
             self.callers.pop(writer, None)
             writer.transport.abort()
 
-    async def _call(self, reader: asyncio.StreamReader) -> bytes:
-        """Read one call and return its answer."""
+    async def _handle(self, reader: asyncio.StreamReader) -> bytes:
+        """Read one request and return its answer."""
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         request: h11.Request | None = None
         try:
@@ -131,14 +131,14 @@
         except h11.RemoteProtocolError as error:
             return last_answer(error.error_status_hint, str(error).encode())
         except MessageError as error:
-            return _unknown(UnknownOperation(str(error)))
+            return _not_found(UnknownOperation(str(error)))
         done = self._do(call)
         self.counters.add(f"operators_{call.verb}" if done else "operators_refused")
         if call.verb != "ready":
             log.info("operators: %s: %s", f"{call.verb} {call.worker}".strip(), "yes" if done else "no")
         status = 200 if done else 404 if call.worker else 503
         if status == 404:
-            return _unknown(UnknownWorker("no list and no ban has named it", call.worker))
+            return _not_found(UnknownWorker("no list and no ban has named it", call.worker))
         return last_answer(status, b"yes\n" if done else b"no\n")
 
     def _do(self, call: OperatorCall) -> bool:
