--- a/weldquay/net/counters.py
+++ b/weldquay/net/counters.py
@@ -1,4 +1,4 @@
-"""Counters of what is taken in, sent and answered."""
+"""Counters and peaks of one process, for its log and its operators."""
 
 from __future__ import annotations
 
@@ -8,22 +8,22 @@
 
 
 class Counters:
-    """Named counts and the largest figures seen."""
+    """Counts by name, and the largest value of each measured figure."""
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
         self.peaks: dict[str, float] = {}
 
     def add(self, name: str) -> None:
-        """Count one more."""
+        """Increment a count."""
         self.counts[name] += 1
 
     def peak(self, name: str, value: float) -> None:
-        """Keep the largest value."""
+        """Record a value; the largest one is kept."""
         if value > self.peaks.get(name, 0.0):
             self.peaks[name] = value
 
     def line(self) -> str:
-        """All figures as one line of JSON, ordered by name."""
+        """All counts and peaks as one line of JSON, sorted by name; peaks have three decimals."""
         figures = {**self.counts, **{name: round(value, 3) for name, value in self.peaks.items()}}
         return ujson.dumps(dict(sorted(figures.items())))
--- a/weldquay/net/tasks.py
+++ b/weldquay/net/tasks.py
@@ -1,4 +1,4 @@
-"""Background tasks whose exceptions are never lost."""
+"""Background tasks whose exceptions are logged."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 
 
 class Tasks:
-    """Keeps the tasks that it starts until they end, and logs the exceptions that they end with."""
+    """A group of asyncio tasks: holds a reference to each until it ends, and logs the exceptions."""
 
     def __init__(self) -> None:
         self.running: set[asyncio.Task[Any]] = set()
 
     def start(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
-        """Start a task."""
+        """Start a task; name: the subject of the log line if it raises."""
         task = asyncio.create_task(work, name=name)
         self.running.add(task)
         task.add_done_callback(self._ended)
@@ -29,7 +29,7 @@
             log.error("%s ended with an exception", task.get_name(), exc_info=error)
 
     async def stop(self) -> None:
-        """Cancel what is still running and wait for its end."""
+        """Cancel the running tasks and wait until they have ended."""
         for task in self.running:
             task.cancel()
         await asyncio.gather(*self.running, return_exceptions=True)
