Rename net/calls.py's Expected to AdoptedCall, with plain docstrings

Expected said what a process waits for, not what it is: a call taken over from an older process, with the answers that came before its connection. Used by calls.py, server.py and connection.py only. Docstrings state units, and who reports what.

--- a/weldquay/net/calls.py
+++ b/weldquay/net/calls.py
@@ -1,4 +1,4 @@
-"""Calls and attempts as both sides of the exchange know them, and what it asks of each side."""
+"""Calls (clients' requests), their attempts and answers; what the exchange needs of both network sides."""
 
 from __future__ import annotations
 
@@ -13,21 +13,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A worker's result."""
+    """The call was done; result: what the worker returned."""
 
     result: str
 
 
 @dataclass(frozen=True, slots=True)
 class Overload:
-    """Not done, and trying again is harmless, best after a wait."""
+    """The call was not done; the client may repeat it after retry_after_ns (0: not said)."""
 
     retry_after_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """Failed; nothing is promised about the effect."""
+    """The call failed; the job may have run or not."""
 
 
 Answer = Served | Overload | Failed
@@ -35,7 +35,11 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """A call in hand.  on_answer is called exactly once, unless the client leaves first."""
+    """A client's request that has no answer yet, or attempts that have not ended.
+
+    Times are in nanoseconds of the monotonic clock.  on_answer is called exactly once, or never if the client
+    leaves first.
+    """
 
     id: str
     number: int
@@ -46,12 +50,12 @@
     job_class: int
     rules: api.JobClass
     opened_ns: int
-    most: int  # attempts
-    open: bool = True
-    sends: int = 0
+    most: int  # the limit of attempts
+    open: bool = True  # it has no answer yet, and its client is there
+    sends: int = 0  # attempts so far
     ran: bool = False  # an attempt that has ended may have run
-    live: dict[int, Attempt] = field(default_factory=dict)
-    overdue: asyncio.TimerHandle | None = None
+    live: dict[int, Attempt] = field(default_factory=dict)  # attempts that have not ended, by number
+    overdue: asyncio.TimerHandle | None = None  # fails the call after its deadline
 
     @property
     def safe(self) -> bool:
@@ -61,7 +65,7 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One send of a call to a worker, until its one end has been told."""
+    """One send of a call to a worker; it ends once.  Times are in nanoseconds of the monotonic clock."""
 
     call: Call
     number: int
@@ -69,16 +73,21 @@
     worker_id: str
     sent_ns: int
     deadline_ns: int
-    begin_by_ns: int = 0  # it must have begun by then, or not at all; 0: at any time
-    timer: asyncio.TimerHandle | None = None
-    begun_ns: int = 0  # when its worker told that it runs; 0: not told
+    begin_by_ns: int = 0  # no byte of it may be written after that; 0: no limit
+    timer: asyncio.TimerHandle | None = None  # ends it at its deadline
+    begun_ns: int = 0  # when its worker reported that it runs; 0: not reported
     written: bool = False  # bytes of it may have gone to the worker
     ended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Passed:
-    """A connection on its way to a newer process: what was read ahead, or its request and what it tells."""
+    """A client's connection that is handed over to a newer process.
+
+    file: its descriptor; ahead: the bytes that were read and are not parsed, with the request of its call;
+    resting: it is between two requests; since: when that began, on the monotonic clock (s); call: the state
+    of its call as `Exchange.pass_on` returns it, None without a call.
+    """
 
     file: int
     ahead: bytes
@@ -88,43 +97,43 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Expected:
-    """An adopted call whose connection is on its way; an answer that comes before it waits here."""
+class AdoptedCall:
+    """A call taken over from an older process; answers: those that come before its connection is set up."""
 
     call: Call
     answers: list[Answer]
 
 
 class WorkerSide(Protocol):
-    """What the exchange asks of the workers' side."""
+    """What the exchange needs of the client for the workers."""
 
     def follow(self, told: MemberList) -> None:
-        """Take in the list, or changes of it."""
+        """Apply a whole list of workers, or changes of it."""
 
     def send(self, attempt: Attempt) -> None:
-        """Start an attempt; its end is told by `attempt_ended`."""
+        """Start an attempt; `Exchange.attempt_ended` reports its end."""
 
     def give_up(self, attempt: Attempt) -> None:
-        """Tell the worker that nobody waits for an attempt any more."""
+        """Cancel an attempt at its worker, which is sent a DELETE if it may have the job."""
 
     def ban(self, worker_id: str, on: bool) -> None:
-        """Send no new job to a worker any more, or do so again."""
+        """Ban a worker from new jobs, or (on False) lift the ban."""
 
     def forget(self, worker_id: str) -> None:
-        """Drop what is known of a worker that has long gone."""
+        """Remove the state of a worker that is no longer listed."""
 
     def is_telling(self, call: Call) -> bool:
-        """True while a worker is being sent a call, or told that nobody waits for it."""
+        """True while a request with the call, or a DELETE of it, is under way to a worker."""
 
     def probe(self, worker_id: str) -> None:
-        """Probe a worker; the result is told by `probe_ended`."""
+        """Probe a worker; `Exchange.probe_ended` reports the result."""
 
     def close_idle(self, worker_id: str) -> None:
         """Close the idle connections to a worker."""
 
 
 class DiscoverySide(Protocol):
-    """What the exchange asks of the registry's side."""
+    """What the exchange needs of the client for discovery."""
 
     def watch(self) -> None:
-        """Ask for the changes of the list; `follow` or `list_failed` answers."""
+        """Ask for changes of the list; `Exchange.follow` or `Exchange.list_failed` reports the result."""
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -19,7 +19,7 @@
 
 import h11
 
-from weldquay.net.calls import Answer, Call, Expected, Overload, Passed, Served
+from weldquay.net.calls import AdoptedCall, Answer, Call, Overload, Passed, Served
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
@@ -77,7 +77,7 @@
     pass_on: Callable[[Passed], None] | None  # gives a connection to a newer process; None: there is none
     pass_back: Callable[[bytes], None]  # gives a call-back that matches nothing to an older process
 
-    def forget_call(self, expected: Expected | None) -> None:
+    def forget_call(self, adopted: AdoptedCall | None) -> None:
         """End an adopted call whose client has gone."""
 
 
@@ -90,7 +90,7 @@
         reader: CountingReader,
         writer: asyncio.StreamWriter,
         passed: Passed | None,
-        expected: Expected | None,
+        adopted: AdoptedCall | None,
     ) -> None:
         self.server, self.reader, self.writer = server, reader, writer
         self.channel = HttpChannel()
@@ -99,7 +99,7 @@
         self.overrun = False  # more came than is kept: the connection closes after the answer
         self.heard = False  # something has come
         self.passing = False  # it goes to a newer process
-        self.expected = expected  # the call of its first request, where that goes on here
+        self.adopted = adopted  # the call of its first request, where that goes on here
         self.state, self.since = State.READING, time.monotonic()
         if passed is not None and passed.call is None:
             self.state, self.since = State.RESTING if passed.resting else State.READING, passed.since
@@ -191,7 +191,7 @@
         """The connection has ended: a call still in hand loses its client."""
         self.forget()
         self._count_ahead(0)
-        self.server.forget_call(self.expected)
+        self.server.forget_call(self.adopted)
         if self.call is not None:
             self.server.in_hand.discard(self.call.id)
             self.server.exchange.client_gone(self.call)
@@ -321,10 +321,10 @@
     def _open(self, request: h11.Request, job_class: int, body: Body) -> None:
         """Hand a call to the exchange."""
         told: Figures = figures(request.headers)
-        if (expected := self.expected) is not None:
-            self.expected, self.call, expected.call.on_answer = None, expected.call, self._answer
+        if (adopted := self.adopted) is not None:
+            self.adopted, self.call, adopted.call.on_answer = None, adopted.call, self._answer
             self._enter(State.CALLING)
-            for answer in expected.answers:
+            for answer in adopted.answers:
                 self._answer(answer)
             return
         if self.server.refusing:
--- a/weldquay/net/server.py
+++ b/weldquay/net/server.py
@@ -15,7 +15,7 @@
 from weldquay.net.config import Config
 from weldquay.net.connection import READ_SIZE, Connection, State
 from weldquay.net.counters import Counters
-from weldquay.net.calls import Answer, Expected, Passed
+from weldquay.net.calls import AdoptedCall, Answer, Passed
 from weldquay.net.exchange import Exchange
 from weldquay.net.http_channel import MAX_HEAD
 from weldquay.net.messages import figures, job_of
@@ -104,14 +104,14 @@
         self,
         ahead: bytes = b"",
         passed: Passed | None = None,
-        expected: Expected | None = None,
+        adopted: AdoptedCall | None = None,
     ) -> asyncio.StreamReaderProtocol:
         reader = CountingReader(READ_SIZE)
         if ahead:
             reader.feed_data(ahead)
 
         async def accepted(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._accept(reader, writer, passed, expected)
+            await self._accept(reader, writer, passed, adopted)
 
         return asyncio.StreamReaderProtocol(reader, accepted)
 
@@ -145,10 +145,10 @@
         With the call at once, since its call-backs may come before its connection is in use here.
         """
         known = passed.call is not None and passed.call["class"] in self.config.class_names
-        expected = self._adopt_call(passed) if known else None
-        self.tasks.start(self._adopt(passed, expected), "going on with a connection of the older process")
+        adopted = self._adopt_call(passed) if known else None
+        self.tasks.start(self._adopt(passed, adopted), "going on with a connection of the older process")
 
-    def _adopt_call(self, passed: Passed) -> Expected:
+    def _adopt_call(self, passed: Passed) -> AdoptedCall:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         http.receive_data(passed.ahead)
         request, body = http.next_event(), bytearray()
@@ -160,24 +160,24 @@
         job = job_of(request, body)
         self.elsewhere.discard(told.id)
         self.in_hand.add(told.id)
-        return Expected(self.exchange.adopt(passed.call, told, job, answers.append), answers)
+        return AdoptedCall(self.exchange.adopt(passed.call, told, job, answers.append), answers)
 
-    async def _adopt(self, passed: Passed, expected: Expected | None) -> None:
+    async def _adopt(self, passed: Passed, adopted: AdoptedCall | None) -> None:
         sock = socket.socket(fileno=passed.file)
         sock.setblocking(False)
         try:
             await asyncio.get_running_loop().connect_accepted_socket(
-                partial(self._protocol, passed.ahead, passed, expected), sock
+                partial(self._protocol, passed.ahead, passed, adopted), sock
             )
         except OSError:  # the client has gone meanwhile
             sock.close()
-            self.forget_call(expected)
+            self.forget_call(adopted)
 
-    def forget_call(self, expected: Expected | None) -> None:
+    def forget_call(self, adopted: AdoptedCall | None) -> None:
         """The client of an adopted call has gone."""
-        if expected is not None:
-            self.in_hand.discard(expected.call.id)
-            self.exchange.client_gone(expected.call)
+        if adopted is not None:
+            self.in_hand.discard(adopted.call.id)
+            self.exchange.client_gone(adopted.call)
 
     def begin_closing(self) -> None:
         """Close the connections on which nothing is under way, and the others after their answers."""
@@ -222,14 +222,14 @@
         reader: CountingReader,
         writer: asyncio.StreamWriter,
         passed: Passed | None,
-        expected: Expected | None,
+        adopted: AdoptedCall | None,
     ) -> None:
         if len(self.connections) >= self.most_connections and not self._make_room():
             self.counters.add("clients_over_limit")
             writer.transport.abort()
-            self.forget_call(expected)
+            self.forget_call(adopted)
             return
-        connection = Connection(self, reader, writer, passed, expected)
+        connection = Connection(self, reader, writer, passed, adopted)
         self.connections[connection] = None
         self.counters.add("client_connections")
         try:
