Give net/connection.py and net/server.py the field's standard names and plain docstrings

The two share the names, so they change together. State RESTING, CALLING, LEAVING -> IDLE, WAITING, LINGERING (the values stay: counters evicted_* are built of them); leaving -> is_lingering, heard -> has_received, passing -> is_passing, among -> by_state, shut -> close_gracefully, lost -> connection_lost, out_of_time -> on_timeout; MOST_, LEAST_, _PART -> MAX_, MIN_, _FRACTION; WAITING -> LISTEN_BACKLOG, TAKEN -> MAX_ACCEPTS, REQUEST_S -> REQUEST_TIMEOUT_S. Docstrings and comments in plain technical English.

--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -109,7 +109,7 @@
             if kept:
                 writer.write(job())
                 assert (await read_message(reader)).body == b"TEXT"
-                await asyncio.sleep(3 * server.REQUEST_S)
+                await asyncio.sleep(3 * server.REQUEST_TIMEOUT_S)
             writer.write(part)
             if kept and not part:
                 writer.write(job("c2"))
@@ -118,7 +118,7 @@
                 assert (await reader.read()).startswith(b"HTTP/1.1 408 " if part else b"")
             writer.close()
 
-    monkeypatch.setattr(server, "REQUEST_S", 0.2)
+    monkeypatch.setattr(server, "REQUEST_TIMEOUT_S", 0.2)
     play(scenario())
 
 
@@ -144,7 +144,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            here.program.server.most_connections = 10
+            here.program.server.max_connections = 10
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             crowd = []
             for number in range(5):
@@ -167,7 +167,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            here.program.server.most_connections = 10
+            here.program.server.max_connections = 10
             address = ("127.0.0.1", here.program.server.port)
             reader, writer = await asyncio.open_connection(*address)
             crowd: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -195,7 +195,7 @@
             writer.write(job("c0"))
             await read_message(reader)
             await until(lambda: len(taking.connections) == 1)  # the call-back's has gone
-            (resting,) = taking.among[connection.State.RESTING]
+            (resting,) = taking.by_state[connection.State.IDLE]
             writer.write(job("c1"))
             await writer.drain()
             assert resting.unread() and not taking._make_room()
@@ -218,7 +218,7 @@
             files = len(os.listdir("/proc/self/fd"))
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert len(os.listdir("/proc/self/fd")) - files <= 2 * server.TAKEN
+            assert len(os.listdir("/proc/self/fd")) - files <= 2 * server.MAX_ACCEPTS
             await until(lambda: here.program.counters.counts["client_connections"] >= 100)
             for each in crowd:
                 each.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -77,7 +77,7 @@
                 assert (older.counters.counts["calls"], second.counters.counts["calls"]) == (2, 3)
                 assert here.workers[0].methods() == [] and second.counters.counts["handover_worker"] == 2
                 await until(lambda: second.handover.link is None)
-                assert second.server.most_connections == second.server.full
+                assert second.server.max_connections == second.server.connection_limit
                 assert not second.server.elsewhere
                 for writer in (rested, mute, caller):
                     writer.close()
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -57,7 +57,7 @@
     sock.send(job("c1"))
     await asyncio.get_running_loop().sock_recv(sock, 4096)
     connection = await accepted(here, sock)
-    await until(lambda: connection.state is State.RESTING)
+    await until(lambda: connection.state is State.IDLE)
     return sock, connection
 
 
@@ -81,7 +81,7 @@
             connection = await accepted(here, sock)
             here.program.server.closing = True
             sock.send(job())
-            await until(lambda: connection.leaving)
+            await until(lambda: connection.is_lingering)
             sock.send(behind)
             got = await taken(sock)
             assert got.startswith(b"HTTP/1.1 200") and got.endswith(BIG.encode()[-100:])
@@ -106,9 +106,9 @@
             here.program.server.closing = not half
             sock.send(job())
             if half:
-                await until(lambda: connection.state is State.RESTING)
+                await until(lambda: connection.state is State.IDLE)
                 sock.shutdown(socket.SHUT_WR)
-            await until(lambda: connection.leaving)
+            await until(lambda: connection.is_lingering)
             begun = time.monotonic()
             got = await taken(sock, 0.03)
             assert got.count(b"r") >= len(BIG) and time.monotonic() - begun > 0.4
@@ -128,7 +128,7 @@
             connection = await accepted(here, sock)
             here.program.server.closing = True
             sock.send(job())
-            await until(lambda: connection.leaving)
+            await until(lambda: connection.is_lingering)
             await until(lambda: not here.program.server.connections)
             sock.close()
 
@@ -192,7 +192,7 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(data)
             if behind:
-                await until(lambda: here.program.server.among[State.LEAVING])
+                await until(lambda: here.program.server.by_state[State.LINGERING])
                 writer.write(b"z" * behind)
                 await writer.drain()
             got = await reader.read()
@@ -212,7 +212,7 @@
             sock.setblocking(False)
             connection = await accepted(here, sock)
             sock.send(job())
-            connection.out_of_time(time.monotonic())
+            connection.on_timeout(time.monotonic())
             got = await asyncio.get_running_loop().sock_recv(sock, 4096)
             assert got.startswith(b"HTTP/1.1 200")
             sock.close()
@@ -230,10 +230,10 @@
             fresh.setblocking(False)
             slow.send(job("c1"))
             leaving = await accepted(here, slow)
-            await until(lambda: leaving.state is State.RESTING)
+            await until(lambda: leaving.state is State.IDLE)
             here.program.server.closing = True
-            leaving.shut()
-            assert leaving.leaving and leaving.pending()
+            leaving.close_gracefully()
+            assert leaving.is_lingering and leaving.pending()
             await until(lambda: len(here.program.server.connections) == 2)  # the worker's have ended
             fresh.send(job("c2"))
             assert not here.program.server._make_room()
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -1,10 +1,13 @@
-"""A connection that a client or a match worker opened: its requests in, its answers out.
-
-Rules: one request at a time; a call that waits keeps its connection read, as that is how a client's leaving
-shows; what cannot be taken in is answered, then the connection closes.  Each end is a lingering close: the
-writing half is shut, what still comes is read and dropped, and only then the connection is closed.  So no
-answer is taken back by a reset, and no request that was read after the shutdown is sent on.  The server
-owns the connection and may end it.
+"""One connection that a client or a match worker opened: its states, its requests and its answers.
+
+Rules:
+- One request is served at a time.
+- The connection is read while a call waits for its answer, since that shows when the client leaves.
+- A bad request is answered, then the connection closes.
+- Each close is a lingering close: the writing half is shut down, what still arrives is read and dropped, and
+  then the socket is closed.  So a reset cannot destroy an answer, and no request that arrives after the
+  shutdown is served.
+- The server owns the connection and may close it.
 """
 
 from __future__ import annotations
@@ -40,25 +43,27 @@
 from weldquay.net.tasks import Tasks
 
 READ_SIZE = 16 * 1024
-MAX_AHEAD = 16 * 1024  # bytes taken in while a call waits; beyond that they count against all clients' share
-MOST_AHEAD = 256 * 1024  # of one client; the rest is dropped, and its connection closes after the answer
-PASS_S = 0.02  # how often a call in hand is looked at that is to be passed on
-MAX_LINGER = 1024 * 1024  # and may send on so much, which is read and dropped
-SLOW_S = 10.0  # a client that takes its last answer slowly has so long; one that takes nothing LINGER_S
+# Bytes that a client may send while its call waits: always up to the allowance, up to the maximum as long as
+# all clients together keep under max_ahead.  The rest is dropped, and the connection closes after the answer.
+AHEAD_ALLOWANCE = 16 * 1024
+MAX_AHEAD_PER_CLIENT = 256 * 1024
+PASS_POLL_S = 0.02  # how often a call is checked that waits to be handed over
+MAX_LINGER_BYTES = 1024 * 1024  # read and dropped during a lingering close
+SLOW_READER_S = 10.0  # limit for a client that reads its last answer slowly; LINGER_S if it reads nothing
 HEALTH, CALLBACK = b"/_health", b"/callback"
 
 
 class State(Enum):
-    """What a connection is doing."""
+    """The states of a connection; counters `evicted_*` have the values in their names."""
 
-    READING = "reading"  # new, or in the midst of a request: its time is limited
-    CALLING = "calling"  # a call waits for its answer
-    RESTING = "resting"  # kept between requests
-    LEAVING = "leaving"  # the last answer is out; what still comes is dropped
+    READING = "reading"  # new, or in the middle of a request: its time is limited
+    WAITING = "calling"  # a call waits for its answer
+    IDLE = "resting"  # kept open between requests
+    LINGERING = "leaving"  # the last answer is written; what still arrives is dropped
 
 
 class ConnectionOwner(Protocol):
-    """What a connection needs of the server that owns it; `ClientServer` implements it."""
+    """What a connection uses of the server that owns it; `ClientServer` implements it."""
 
     config: Config
     counters: Counters
@@ -67,15 +72,17 @@
     serving: Callable[[], bool]
     closing: bool  # every connection closes after its answer
     refusing: bool  # calls are refused
-    classes: dict[bytes, int]  # numbers of the classes that are offered, by name
+    classes: dict[bytes, int]  # the number of each offered class, by its name
     connections: dict[Connection, None]
-    among: dict[State, dict[Connection, None]]  # the connections in each state
+    by_state: dict[State, dict[Connection, None]]  # the connections in each state
     ahead: int  # bytes that clients have sent ahead of calls that wait
-    most_ahead: int  # bytes; the bound of all clients together
-    in_hand: set[str]  # ids of the calls in hand
-    elsewhere: set[str]  # ids of the calls in hand at an older process
-    pass_on: Callable[[Passed], None] | None  # gives a connection to a newer process; None: there is none
-    pass_back: Callable[[bytes], None]  # gives a call-back that matches nothing to an older process
+    max_ahead: int  # bytes; the limit for all clients together
+    in_hand: set[str]  # ids of the open calls
+    elsewhere: set[str]  # ids of the calls that are open at an older process
+    pass_on: (
+        Callable[[Passed], None] | None
+    )  # hands a connection over to a newer process; None: there is none
+    pass_back: Callable[[bytes], None]  # forwards a call-back that matches nothing to an older process
 
     def forget_call(self, adopted: AdoptedCall | None) -> None:
         """End an adopted call whose client has gone."""
@@ -95,56 +102,57 @@
         self.server, self.reader, self.writer = server, reader, writer
         self.channel = HttpChannel()
         self.call: Call | None = None
-        self.ahead = 0  # bytes taken in while a call waits
-        self.overrun = False  # more came than is kept: the connection closes after the answer
-        self.heard = False  # something has come
-        self.passing = False  # it goes to a newer process
-        self.adopted = adopted  # the call of its first request, where that goes on here
+        self.ahead = 0  # bytes received while a call waits
+        self.overrun = False  # more was received than is kept: the connection closes after the answer
+        self.has_received = False  # any byte has been received
+        self.is_passing = False  # it is being handed over to a newer process
+        self.adopted = adopted  # the call of its first request, if that was taken over from an older process
         self.state, self.since = State.READING, time.monotonic()
         if passed is not None and passed.call is None:
-            self.state, self.since = State.RESTING if passed.resting else State.READING, passed.since
-        self.left_at, self.unsent = 0.0, 0  # since when it leaves, and what of its answer is still here
-        server.among[self.state][self] = None
+            self.state, self.since = State.IDLE if passed.resting else State.READING, passed.since
+        self.linger_began, self.unsent = 0.0, 0  # when it began; bytes of the answer left then
+        server.by_state[self.state][self] = None
 
     @property
-    def leaving(self) -> bool:
-        """True once the last answer is out."""
-        return self.state is State.LEAVING
+    def is_lingering(self) -> bool:
+        """True once the last answer is written."""
+        return self.state is State.LINGERING
 
     def _enter(self, state: State) -> None:
-        """Go over into another state; what leaves stays so."""
-        if not self.leaving:
-            del self.server.among[self.state][self]
+        """Change the state; LINGERING is final."""
+        if not self.is_lingering:
+            del self.server.by_state[self.state][self]
             self.state, self.since = state, time.monotonic()
-            self.server.among[state][self] = None
-            if state is State.RESTING and self.server.pass_on is not None:
+            self.server.by_state[state][self] = None
+            if state is State.IDLE and self.server.pass_on is not None:
                 asyncio.get_running_loop().call_soon(self.begin_passing)
 
     def begin_passing(self) -> None:
-        """Stop reading, unless in the midst of a request; what was read goes along, by way of `run`."""
-        midst = self.state is State.READING and self.heard
-        full = self.call is not None and (self.ahead > MAX_AHEAD or self.overrun)
-        if not (self.passing or midst or full or self.leaving or self.writer.is_closing()):
-            self.passing = True
+        """Stop reading, so that `run` hands the connection over; not in the middle of a request."""
+        in_request = self.state is State.READING and self.has_received
+        too_much = self.call is not None and (self.ahead > AHEAD_ALLOWANCE or self.overrun)
+        if not (self.is_passing or in_request or too_much or self.is_lingering or self.writer.is_closing()):
+            self.is_passing = True
             self.writer.transport.pause_reading()  # type: ignore[attr-defined]
-            self.reader.feed_eof()  # ends the waiting of `run`
+            self.reader.feed_eof()  # ends the read in `run`
 
     async def _pass_on(self, data: bytes) -> None:
-        """Give the connection to the newer process, once all is written; its end here closes nothing.
+        """Hand the connection over to the newer process, with `data` and whatever else was read.
 
-        With a call in hand it waits until that can go as well, or has its answer.
+        Waits until an open call can be handed over too, or has its answer, and until all answers are written.
+        The newer process gets a duplicate of the descriptor, so closing this one does not end the connection.
         """
         while more := await self.reader.read(READ_SIZE):
             data += more
         server, exchange = self.server, self.server.exchange
         while self.call is not None and (server.pass_on is None or not exchange.may_pass(self.call)):
-            if has_event(self.writer, HUNG_UP):  # its leaving must show, though nothing is read any more
+            if has_event(self.writer, HUNG_UP):  # the client has gone; no read would show it
                 return
-            await asyncio.sleep(PASS_S)
+            await asyncio.sleep(PASS_POLL_S)
         if self.call is None:
             self.writer.transport.set_write_buffer_limits(high=0)
             await self.writer.drain()
-        if self.server.pass_on is None or self.leaving or self.writer.is_closing():
+        if self.server.pass_on is None or self.is_lingering or self.writer.is_closing():
             return
         ahead, told = self.channel.trailing + data, None
         if self.call is not None:
@@ -157,38 +165,38 @@
             self.call = None
         self.server.counters.add("clients_passed_on")
         file = os.dup(self.writer.get_extra_info("socket").fileno())
-        self.server.pass_on(Passed(file, ahead, self.state is State.RESTING, self.since, told))
+        self.server.pass_on(Passed(file, ahead, self.state is State.IDLE, self.since, told))
 
     def forget(self) -> None:
-        """Count no more among the connections."""
-        self.server.among[self.state].pop(self, None)
+        """Remove the connection from the server's tables."""
+        self.server.by_state[self.state].pop(self, None)
         self.server.connections.pop(self, None)
 
     def evict(self) -> None:
-        """Close at once and make room; what it may still bring is not taken in."""
+        """Close at once to make room; nothing more is read."""
         self.forget()
-        self.state = State.LEAVING
+        self.state = State.LINGERING
         self.abort()
 
     def abort(self) -> None:
-        """Close at once."""
+        """Close at once; what is not written yet is lost."""
         self.writer.transport.abort()
 
     def unread(self) -> bool:
-        """True where something has come that was not taken in."""
+        """True where bytes, or the end of the stream, have arrived and are not read yet."""
         return unread(self.reader, self.writer)
 
     def pending(self) -> bool:
-        """True while a part of an answer has not gone to the system."""
+        """True while a part of an answer is not yet in the system's send buffer."""
         return self.writer.transport.get_write_buffer_size() > 0
 
-    def shut(self) -> None:
-        """End the connection where nothing is under way on it; what has come by now is answered first."""
+    def close_gracefully(self) -> None:
+        """Begin a lingering close, unless unread bytes have arrived: those are answered first."""
         if not self.unread():
-            self._leave()
+            self._linger()
 
-    def lost(self) -> None:
-        """The connection has ended: a call still in hand loses its client."""
+    def connection_lost(self) -> None:
+        """The connection has ended: end its open call."""
         self.forget()
         self._count_ahead(0)
         self.server.forget_call(self.adopted)
@@ -201,98 +209,102 @@
         self.server.ahead += size - self.ahead
         self.ahead = size
 
-    def out_of_time(self, now: float) -> None:
-        """The request took too long, or the last answer is not read."""
-        if self.state is State.LEAVING:
+    def on_timeout(self, now: float) -> None:
+        """Handle a request or a lingering close that took too long; now: of the monotonic clock (s)."""
+        if self.state is State.LINGERING:
             left = self.writer.transport.get_write_buffer_size()
-            if left < self.unsent and now - self.left_at < SLOW_S:  # a slow client still takes its answer
+            # A slow client that still reads its answer gets more time.
+            if left < self.unsent and now - self.linger_began < SLOW_READER_S:
                 self.unsent, self.since = left, now
                 return
             self.abort()
-        elif self.heard:
+        elif self.has_received:
             self._reject(408, "the request was not whole in time")
         elif not self.unread():
             self.abort()
 
     async def run(self) -> None:
-        """Read until the connection ends, while a call waits too: that is how a client's leaving shows."""
-        while not self.leaving:
-            if self.call is None:  # a client that does not read must not hide its leaving
+        """Read and serve requests until the connection ends; OSError where it breaks.
+
+        Reading goes on while a call waits, since that shows when the client leaves.
+        """
+        while not self.is_lingering:
+            if self.call is None:  # with a call, a client that does not read must not stop the reads
                 await self.writer.drain()
             data = await self.reader.read(READ_SIZE)
-            if self.passing:
+            if self.is_passing:
                 await self._pass_on(data)
                 return
-            if self.leaving or (not data and self.call is not None):
+            if self.is_lingering or (not data and self.call is not None):
                 break
-            self.heard = self.heard or bool(data)
-            if self.state is State.READING:  # what makes progress is not the first to make room
-                self.server.among[State.READING][self] = self.server.among[State.READING].pop(self)
+            self.has_received = self.has_received or bool(data)
+            if self.state is State.READING:  # it moves to the end of those that may be evicted
+                self.server.by_state[State.READING][self] = self.server.by_state[State.READING].pop(self)
             if self.call is None:
                 self.channel.feed_data(data)
                 self._advance()
             else:
                 self._read_ahead(data)
-        if self.leaving:  # closed with bytes unread, a socket would take its answer back
+        if self.is_lingering:  # a close with unread bytes would reset the connection and lose the answer
             dropped = 0
-            while dropped < MAX_LINGER and (data := await self.reader.read(READ_SIZE)):
+            while dropped < MAX_LINGER_BYTES and (data := await self.reader.read(READ_SIZE)):
                 dropped += len(data)
             self.writer.transport.set_write_buffer_limits(high=0)
-            await self.writer.drain()  # a client that has sent all may still read; the server bounds it
+            await self.writer.drain()  # a half-closed client may still read; the server limits the time
 
     def _read_ahead(self, data: bytes) -> None:
-        """Take in what comes while a call waits.
+        """Keep what arrives while a call waits, within the limits; drop it once they are exceeded.
 
-        Guards against clients that send without end; they are read on, as else their leaving would not show.
+        Guards against clients that send without end.
         """
-        most = self.server.most_ahead
-        if self.ahead + len(data) > MAX_AHEAD and (
-            self.ahead + len(data) > MOST_AHEAD or self.server.ahead + len(data) > most
+        size = self.ahead + len(data)
+        if size > AHEAD_ALLOWANCE and (
+            size > MAX_AHEAD_PER_CLIENT or self.server.ahead + len(data) > self.server.max_ahead
         ):
             self.overrun = True
         if not self.overrun:
-            self._count_ahead(self.ahead + len(data))
+            self._count_ahead(size)
             self.channel.feed_data(data)
 
-    def _leave(self) -> None:
-        """The last answer is written: end the writing half, so that the client sees it, and drop the rest."""
-        if not self.leaving:
-            self._enter(State.LEAVING)
-            self.left_at, self.unsent = self.since, self.writer.transport.get_write_buffer_size()
+    def _linger(self) -> None:
+        """Begin the lingering close: the last answer is written, and the writing half is shut down."""
+        if not self.is_lingering:
+            self._enter(State.LINGERING)
+            self.linger_began, self.unsent = self.since, self.writer.transport.get_write_buffer_size()
             if self.writer.can_write_eof() and not self.writer.is_closing():
                 self.writer.write_eof()
 
     def _advance(self) -> None:
-        """Take in what has been read, up to a call that has to wait for its answer."""
-        while self.call is None and not self.leaving and not self.passing:
+        """Parse what was read and serve it, up to a call that waits for its answer."""
+        while self.call is None and not self.is_lingering and not self.is_passing:
             progress = self.channel.advance()
             if isinstance(progress, Rejection):
                 self._reject(progress.status, progress.why)
             elif progress is Progress.REQUEST:
-                self._finish()
+                self._handle_request()
             elif progress is Progress.CLOSED:
-                self._leave()
+                self._linger()
             else:
                 if interim := self.channel.interim():
                     self.writer.write(interim)
-                if self.state is State.RESTING and (self.channel.request or self.channel.trailing):
+                if self.state is State.IDLE and (self.channel.request or self.channel.trailing):
                     self._enter(State.READING)
                 return
 
     def _reject(self, status: int, why: str) -> None:
-        """Answer what cannot be taken in, and close: a client that sends such has nothing else to say."""
+        """Answer a bad request and close the connection."""
         self.server.counters.add(f"rejected_{status}")
-        self._last(status, why.encode())
+        self._respond_and_close(status, why.encode())
 
-    def _last(self, status: int, body: bytes) -> None:
-        """Write an answer after which the connection closes, past h11, which costs more than the rest."""
+    def _respond_and_close(self, status: int, body: bytes) -> None:
+        """Write an answer and close the connection; without h11, whose cost would exceed all the rest."""
         request = self.channel.request
         head = request is not None and request.method == b"HEAD"
         self.writer.write(last_answer(status, body, head))
-        self._leave()
+        self._linger()
 
-    def _finish(self) -> None:
-        """Act on a whole request."""
+    def _handle_request(self) -> None:
+        """Serve a complete request: a health check, a call-back or a call."""
         request, body = self.channel.request, self.channel.body
         assert request is not None
         path = request.target.split(b"?", 1)[0]
@@ -302,9 +314,9 @@
                 if request.method not in (b"GET", b"HEAD"):
                     self._reject(405, "only GET and HEAD")
                 elif self.server.serving():
-                    self._last(200, b"ok")
+                    self._respond_and_close(200, b"ok")
                 else:
-                    self._last(503, b"draining")
+                    self._respond_and_close(503, b"draining")
             elif path != CALLBACK and job_class is None:
                 self._reject(404, "no such class or path")
             elif request.method != b"POST":
@@ -312,24 +324,24 @@
             elif job_class is None:
                 if not self.server.exchange.call_back(callback(body, self.server.config.report_fields)):
                     self.server.pass_back(bytes(body))
-                self._write(204)
+                self._respond(204)
             else:
-                self._open(request, job_class, body)
+                self._open_call(request, job_class, body)
         except MessageError as error:
             self._reject(400, str(error))
 
-    def _open(self, request: h11.Request, job_class: int, body: Body) -> None:
-        """Hand a call to the exchange."""
+    def _open_call(self, request: h11.Request, job_class: int, body: Body) -> None:
+        """Pass a call to the exchange, or go on with the one that was taken over."""
         told: Figures = figures(request.headers)
         if (adopted := self.adopted) is not None:
             self.adopted, self.call, adopted.call.on_answer = None, adopted.call, self._answer
-            self._enter(State.CALLING)
+            self._enter(State.WAITING)
             for answer in adopted.answers:
                 self._answer(answer)
             return
         if self.server.refusing:
             self.server.counters.add("calls_out_of_service")
-            self._overload(self.server.config.settings.max_retry_after_ns)
+            self._respond_overload(self.server.config.settings.max_retry_after_ns)
             return
         if told.id in self.server.in_hand or told.id in self.server.elsewhere:
             self._reject(409, "a call with this id is in hand")
@@ -338,42 +350,42 @@
         self._count_ahead(len(self.channel.trailing))
         self.call = self.server.exchange.open(job_class, told, job, self._answer)
         if self.call is None:
-            self._overload(self.server.config.settings.max_retry_after_ns)
+            self._respond_overload(self.server.config.settings.max_retry_after_ns)
         else:
             self.server.in_hand.add(told.id)
-            self._enter(State.CALLING)
+            self._enter(State.WAITING)
 
     def _answer(self, answer: Answer) -> None:
-        """Write the final answer of the call in hand."""
+        """Write the final answer of the open call."""
         assert self.call is not None
         self.server.in_hand.discard(self.call.id)
         self.call = None
         if isinstance(answer, Served):
-            self._write(200, answer.result.encode())
+            self._respond(200, answer.result.encode())
         elif isinstance(answer, Overload):
-            self._overload(answer.retry_after_ns)
+            self._respond_overload(answer.retry_after_ns)
         else:
-            self._write(502, b"failed")
-        if self.state is State.RESTING and self.channel.trailing:
-            self.server.tasks.start(self._go_on(), "the next call of a connection")
+            self._respond(502, b"failed")
+        if self.state is State.IDLE and self.channel.trailing:
+            self.server.tasks.start(self._resume(), "the next call of a connection")
 
-    def _overload(self, wait_ns: int) -> None:
+    def _respond_overload(self, wait_ns: int) -> None:
         wait = [(b"Retry-After", retry_after(wait_ns))] if wait_ns else []
-        self._write(503, b"overloaded, come again", wait)
+        self._respond(503, b"overloaded, come again", wait)
 
-    async def _go_on(self) -> None:
-        """Take in what has been read already, once the client has read its answers.
+    async def _resume(self) -> None:
+        """Serve the requests that were read already, once the client has read its answers.
 
-        Guards against clients that send on and on without reading: their answers would fill the memory.
+        Guards against clients that send requests without reading: their answers would fill the memory.
         """
         with suppress(OSError):
             await self.writer.drain()
             self._advance()
 
-    def _write(
+    def _respond(
         self, status: int, body: bytes = b"", headers: list[tuple[bytes, bytes]] | None = None
     ) -> None:
-        """Write an answer; the connection closes after it where either side wants that."""
+        """Write an answer; the connection closes after it if either side has asked for that."""
         headers = headers or []
         if status != 204:
             headers.append((b"Content-Length", b"%d" % len(body)))
@@ -381,6 +393,6 @@
             headers.append((b"Connection", b"close"))
         self.writer.write(self.channel.respond(status, body, headers))
         if self.channel.begin_next():
-            self._enter(State.RESTING)
+            self._enter(State.IDLE)
         else:
-            self._leave()
+            self._linger()
--- a/weldquay/net/server.py
+++ b/weldquay/net/server.py
@@ -1,4 +1,4 @@
-"""The server: one listener for clients, for `/_health` and for the call-backs of match workers."""
+"""The client-facing server: one listener for clients, health checks and the call-backs of match workers."""
 
 from __future__ import annotations
 
@@ -24,18 +24,20 @@
 
 log = logging.getLogger(__name__)
 
-WAITING = 1024  # connections in the system's queue; beyond that they come again only after a second
-TAKEN = 8  # connections accepted in one turn of the loop: the others' work goes on in between
-LEAST_CONNECTIONS = 8  # whatever another process holds
-REQUEST_S = 2.6  # from a connection's or a request's first moment to its last byte; bad clients get 3 s
-SWEEP_S = 0.1
-AHEAD_PART = 8  # of the memory for clients may hold what they have sent ahead
-LOOK_S = 0.01
-LINGER_S = 1.0  # after a refused message the client has this long to read why
+LISTEN_BACKLOG = 1024  # connections in the system's queue; beyond it clients repeat their SYN after a second
+MAX_ACCEPTS = 8  # connections accepted in one turn of the event loop
+MIN_CONNECTIONS = 8  # however many another process of this dispatcher holds
+# From a connection's start, or a later request's first byte, to the request's last byte; the protocol allows
+# bad clients 3 s.
+REQUEST_TIMEOUT_S = 2.6
+SWEEP_INTERVAL_S = 0.1
+AHEAD_FRACTION = 1 / 8  # of the memory for clients: the limit of what they send ahead of calls that wait
+POLL_INTERVAL_S = 0.01
+LINGER_S = 1.0  # limit of a lingering close for a client that reads nothing
 
 
 class ClientServer:
-    """The listener and its connections."""
+    """The listener, its connections and the ids of the open calls."""
 
     def __init__(
         self, config: Config, counters: Counters, exchange: Exchange, serving: Callable[[], bool]
@@ -45,17 +47,18 @@
         self.refusing = False  # calls are refused
         self.retune(config)
         self.connections: dict[Connection, None] = {}
-        # By state, the longest there first; of those that read, the longest without a byte.
-        self.among: dict[State, dict[Connection, None]] = {state: {} for state in State}
-        self.most_connections = self.full = min(
+        # In each state the oldest first; of READING the one that has received nothing for the longest time.
+        self.by_state: dict[State, dict[Connection, None]] = {state: {} for state in State}
+        self.max_connections = self.connection_limit = min(
             config.sockets - config.sockets * 3 // 10 - RESERVE,
             (config.memory_mb - BASE_MB) * 1024 * 1024 // BYTES_EACH,
         )
-        self.ahead = 0  # bytes that clients have sent ahead of calls that wait
-        self.most_ahead = (config.memory_mb - BASE_MB) * 1024 * 1024 // AHEAD_PART
-        self.in_hand: set[str] = set()  # ids of the calls in hand
-        # Where a newer process takes over, connections between two requests go there, and call-backs that
-        # match nothing here; the ids of the older one's open calls are not to be had.
+        self.ahead = 0  # bytes that clients have sent while their calls wait
+        self.max_ahead = int((config.memory_mb - BASE_MB) * 1024 * 1024 * AHEAD_FRACTION)
+        self.in_hand: set[str] = set()  # ids of the open calls
+        # During a handover: pass_on hands a connection over to the newer process, pass_back forwards a
+        # call-back that matches nothing here to the older one, and elsewhere has the ids of its open calls,
+        # which new calls may not use.
         self.pass_on: Callable[[Passed], None] | None = None
         self.pass_back: Callable[[bytes], None] = lambda body: None
         self.elsewhere: set[str] = set()
@@ -64,16 +67,17 @@
         self.server: asyncio.Server | None = None
 
     def retune(self, config: Config) -> None:
-        """Take in other settings."""
+        """Use other settings for the calls from now on."""
         self.config = config
         self.classes = {
             name.encode(): number for number, name in enumerate(config.class_names) if name in config.offered
         }
 
     async def listen(self, inherited: int = -1) -> None:
-        """Open the listener, or go on with that of an older process; `accept` begins to accept.
+        """Open the listener, or use the inherited descriptor of an older process; `accept` begins to accept.
 
-        A newer process must be able to start beside one that does not answer, so the port is shared.
+        OSError where the address is not available.  SO_REUSEPORT lets a newer process start beside one that
+        does not answer.
         """
         if inherited >= 0:
             self.listener = socket.socket(fileno=inherited)
@@ -90,15 +94,15 @@
     async def accept(self) -> None:
         """Begin to accept.
 
-        asyncio takes as many connections in one turn as its backlog says, so the system's is set apart.
-        Guards against a crowd that takes all descriptors before any of it is counted: asyncio accepts nothing
-        for a second then, and call-backs wait with the others.
+        asyncio accepts up to its backlog in one turn of the loop, so the system's backlog is set separately.
+        Guards against a crowd that uses up all descriptors before its connections are counted: asyncio would
+        stop accepting for a second, and call-backs would wait too.
         """
         assert self.listener is not None
         self.server = await asyncio.get_running_loop().create_server(
-            self._protocol, sock=self.listener.dup(), backlog=TAKEN
+            self._protocol, sock=self.listener.dup(), backlog=MAX_ACCEPTS
         )
-        self.listener.listen(WAITING)
+        self.listener.listen(LISTEN_BACKLOG)
 
     def _protocol(
         self,
@@ -116,33 +120,33 @@
         return asyncio.StreamReaderProtocol(reader, accepted)
 
     def stop_accepting(self) -> None:
-        """Leave what waits in the system's queue to another process, or to a later `accept`."""
+        """Stop accepting; the system's queue is left to another process, or to a later `accept`."""
         if self.server is not None:
             self.server.close()
             self.server = None
 
     @property
     def port(self) -> int:
-        """The port that the listener has."""
+        """The listener's port."""
         assert self.listener is not None
         return int(self.listener.getsockname()[1])
 
     def limit(self, others: int) -> None:
-        """Leave room for so many connections, which another process holds."""
-        self.most_connections = max(LEAST_CONNECTIONS, self.full - others)
+        """Lower the limit of connections by those that another process holds."""
+        self.max_connections = max(MIN_CONNECTIONS, self.connection_limit - others)
 
     def hand_over(self, pass_on: Callable[[Passed], None]) -> None:
-        """Accept no more, and pass each connection on between two requests, or with its call."""
+        """Stop accepting, and hand each connection over between two requests, or with its call."""
         self.stop_accepting()
         self.pass_on = pass_on
-        for state in (State.RESTING, State.READING, State.CALLING):
-            for connection in list(self.among[state]):
+        for state in (State.IDLE, State.READING, State.WAITING):
+            for connection in list(self.by_state[state]):
                 connection.begin_passing()
 
     def adopt(self, passed: Passed) -> None:
-        """Go on with a connection that the other process passed on, and with its call.
+        """Take over a connection, and its call, from the older process.
 
-        With the call at once, since its call-backs may come before its connection is in use here.
+        The call is taken over at once, since its call-backs may arrive before the connection is set up.
         """
         known = passed.call is not None and passed.call["class"] in self.config.class_names
         adopted = self._adopt_call(passed) if known else None
@@ -169,31 +173,31 @@
             await asyncio.get_running_loop().connect_accepted_socket(
                 partial(self._protocol, passed.ahead, passed, adopted), sock
             )
-        except OSError:  # the client has gone meanwhile
+        except OSError:  # the client has gone
             sock.close()
             self.forget_call(adopted)
 
     def forget_call(self, adopted: AdoptedCall | None) -> None:
-        """The client of an adopted call has gone."""
+        """End an adopted call whose client has gone."""
         if adopted is not None:
             self.in_hand.discard(adopted.call.id)
             self.exchange.client_gone(adopted.call)
 
     def begin_closing(self) -> None:
-        """Close the connections on which nothing is under way, and the others after their answers."""
+        """Close the idle connections, and the others after their answers."""
         self.closing = True
-        for connection in list(self.among[State.RESTING]):
-            connection.shut()  # what has come is answered, and that closes
+        for connection in list(self.by_state[State.IDLE]):
+            connection.close_gracefully()  # one with unread bytes closes after its answer
 
     def reopen(self) -> None:
-        """Take and keep clients again."""
+        """Accept calls and keep connections again."""
         self.closing = self.refusing = False
 
     async def stop(self, linger_s: float = LINGER_S) -> None:
-        """Close the listener and all connections, answers being written out first; linger_s at the most.
+        """Close the listener and all connections after their answers are written; after linger_s (s) at once.
 
-        Calls that still come get a refusal.  Guards against connections in the system's queue, which a
-        listener that closes would reset with what is on them.
+        New calls are refused.  The system's queue is emptied first, since closing the listener would reset
+        the connections in it.
         """
         self.closing = self.refusing = True
         try:
@@ -203,13 +207,13 @@
                     and self.server is not None
                     and poll_now(self.listener, READABLE)
                 ):
-                    await asyncio.sleep(LOOK_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
                 self.stop_accepting()
                 while self.connections:
-                    for connection in [*self.among[State.RESTING], *self.among[State.READING]]:
-                        connection.shut()
-                    await asyncio.sleep(LOOK_S)
-        except TimeoutError:  # clients that do not read must not keep the program from its end
+                    for connection in [*self.by_state[State.IDLE], *self.by_state[State.READING]]:
+                        connection.close_gracefully()
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError:  # clients that do not read must not delay the exit
             for connection in list(self.connections):
                 connection.abort()
         self.stop_accepting()
@@ -224,7 +228,7 @@
         passed: Passed | None,
         adopted: AdoptedCall | None,
     ) -> None:
-        if len(self.connections) >= self.most_connections and not self._make_room():
+        if len(self.connections) >= self.max_connections and not self._make_room():
             self.counters.add("clients_over_limit")
             writer.transport.abort()
             self.forget_call(adopted)
@@ -235,23 +239,23 @@
         try:
             await connection.run()
         except OSError:
-            pass  # the client's end of the connection broke; nothing more is owed on it
+            pass  # the connection broke: no answer can be delivered
         except Exception:
             log.exception("a client's connection failed")
             self.counters.add("connections_broken")
         finally:
-            connection.lost()
+            connection.connection_lost()
             writer.transport.abort()
 
     def _make_room(self) -> bool:
-        """Close the connection that is worth least: one that ends anyway, has brought nothing yet, or rests.
+        """Close one connection for a new one, LINGERING before READING before IDLE; False if there is none.
 
-        Guards against crowds that connect and say nothing, or ask once and stay: those with calls stay last.
+        Guards against crowds that connect and send nothing, or stay idle.  A connection with a call is kept.
         """
-        for state in (State.LEAVING, State.READING, State.RESTING):
-            for connection in self.among[state]:
-                # Its answer is still on its way, or its request has come.
-                if connection.pending() or (state is not State.LEAVING and connection.unread()):
+        for state in (State.LINGERING, State.READING, State.IDLE):
+            for connection in self.by_state[state]:
+                # Kept: an answer is not written out yet, or a request has arrived.
+                if connection.pending() or (state is not State.LINGERING and connection.unread()):
                     continue
                 self.counters.add(f"evicted_{state.value}")
                 connection.evict()
@@ -259,11 +263,11 @@
         return False
 
     async def _sweep(self) -> None:
-        """End what takes too long: requests that do not become whole, and last answers that are not read."""
+        """Enforce the time limits of requests and of lingering closes."""
         while True:
-            await asyncio.sleep(SWEEP_S)
+            await asyncio.sleep(SWEEP_INTERVAL_S)
             now = time.monotonic()
-            for state, limit_s in ((State.READING, REQUEST_S), (State.LEAVING, LINGER_S)):
-                for connection in list(self.among[state]):
+            for state, limit_s in ((State.READING, REQUEST_TIMEOUT_S), (State.LINGERING, LINGER_S)):
+                for connection in list(self.by_state[state]):
                     if now - connection.since >= limit_s:
-                        connection.out_of_time(now)
+                        connection.on_timeout(now)
