Split net/phases.py and net/loop_monitor.py out of net/program.py

Change: Phase moves to net/phases.py and stays importable from program; the two measures of the event loop's delays move to LoopMonitor, methods unchanged. Nothing else in program.py changes.

--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import replace
-from enum import Enum
 from functools import partial
 from typing import Any
 
@@ -23,9 +22,11 @@
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
 from weldquay.net.handover import IDS, Handover, Message
+from weldquay.net.loop_monitor import LoopMonitor
 from weldquay.net.persistence import BanList, StateFile
 from weldquay.net.messages import MessageError, callback, member_line, member_list
 from weldquay.net.operators import Operators
+from weldquay.net.phases import Phase as Phase  # part of this module's interface
 from weldquay.net.discovery_client import DiscoveryClient
 from weldquay.net.tasks import Tasks
 from weldquay.net.workers import Workers
@@ -46,7 +47,6 @@
 NEWER_FILES = 24  # descriptors that a newer process needs before it has clients
 NEWER_PART = 1 / 3  # of the connections to workers, while it is not alone
 HELD_S = 0.2
-MARK_S = 0.1  # how often the delay of the event loop is measured
 
 
 class CannotListen(OperatorError):
@@ -55,20 +55,6 @@
     remedy = "end the other program at that address, or change GW_LISTEN or GW_MGMT to one of this machine's"
 
 
-class Phase(Enum):
-    """Where the program is between its start and its exit."""
-
-    STARTING = "starting"
-    SERVING = "serving"
-    RELOADING = "reloading"  # takes in a new configuration, then goes on as before
-    OUT_OF_SERVICE = "out of service"  # emptied by its operators, until they want it back
-    HANDED_OVER = "handed over"  # a newer process has the clients; calls in hand end here
-    DRAINING = "draining"  # says that it wants no new clients, serves those that it has
-    CLOSING = "closing"  # closes each connection after its answer
-    STOPPING = "stopping"  # owes nothing any more
-    STOPPED = "stopped"
-
-
 class Program:
     """One dispatcher, from start to exit."""
 
@@ -85,7 +71,6 @@
         self.before = Phase.STARTING  # the phase in which a newer process took over
         self.begun = self.out_since = time.monotonic()
         self.emptying: asyncio.Task[None] | None = None
-        self.collection_begun = 0.0
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
@@ -348,8 +333,7 @@
             print(f"weldquay: {CannotListen(str(error)).advice()}", file=sys.stderr)
             return 1
         gc.freeze()  # what is there now stays: the collector need not look at it again
-        gc.callbacks.append(self._measure_collection)
-        self.tasks.start(self._measure_delay(), "measuring of the loop's delay")
+        LoopMonitor(self.counters).start(self.tasks)
         await self.drain_begun.wait()
         await self.finish()
         self.print_counters()
@@ -386,17 +370,3 @@
     def print_counters(self) -> None:
         """Write the counters to standard error: on SIGUSR1 and at exit."""
         log.info("counters %s", self.counters.line())
-
-    def _measure_collection(self, phase: str, _info: dict[str, int]) -> None:
-        """How long the garbage collector stops the program, as its longest run."""
-        if phase == "start":
-            self.collection_begun = time.monotonic()
-        else:
-            self.counters.peak("longest_collection_ms", (time.monotonic() - self.collection_begun) * 1000)
-
-    async def _measure_delay(self) -> None:
-        """How late the event loop runs, as its longest delay."""
-        while True:
-            due = time.monotonic() + MARK_S
-            await asyncio.sleep(MARK_S)
-            self.counters.peak("longest_loop_delay_ms", (time.monotonic() - due) * 1000)
