--- a/weldquay/net/loop_monitor.py
+++ b/weldquay/net/loop_monitor.py
@@ -1,4 +1,4 @@
-"""Measures what delays the event loop: the garbage collector, and all that runs in one turn."""
+"""Measures the delays of the event loop: runs of the garbage collector, and turns that take long."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.tasks import Tasks
 
-MARK_S = 0.1  # how often the delay of the event loop is measured
+INTERVAL_S = 0.1  # between two measurements of the loop's delay
 
 
 class LoopMonitor:
@@ -25,15 +25,15 @@
         tasks.start(self._measure_delay(), "measuring of the loop's delay")
 
     def _measure_collection(self, phase: str, _info: dict[str, int]) -> None:
-        """How long the garbage collector stops the program, as its longest run."""
+        """Record the time (ms) of each run of the garbage collector; a callback of `gc`."""
         if phase == "start":
             self.collection_begun = time.monotonic()
         else:
             self.counters.peak("longest_collection_ms", (time.monotonic() - self.collection_begun) * 1000)
 
     async def _measure_delay(self) -> None:
-        """How late the event loop runs, as its longest delay."""
+        """Record how late (ms) the event loop runs a timer."""
         while True:
-            due = time.monotonic() + MARK_S
-            await asyncio.sleep(MARK_S)
+            due = time.monotonic() + INTERVAL_S
+            await asyncio.sleep(INTERVAL_S)
             self.counters.peak("longest_loop_delay_ms", (time.monotonic() - due) * 1000)
--- a/weldquay/net/phases.py
+++ b/weldquay/net/phases.py
@@ -6,14 +6,14 @@
 
 
 class Phase(Enum):
-    """Where the program is between its start and its exit."""
+    """The phases between the start and the exit of the process; the values are in log lines."""
 
     STARTING = "starting"
     SERVING = "serving"
-    RELOADING = "reloading"  # takes in a new configuration, then goes on as before
-    OUT_OF_SERVICE = "out of service"  # emptied by its operators, until they want it back
-    HANDED_OVER = "handed over"  # a newer process has the clients; calls in hand end here
-    DRAINING = "draining"  # says that it wants no new clients, serves those that it has
-    CLOSING = "closing"  # closes each connection after its answer
-    STOPPING = "stopping"  # owes nothing any more
+    RELOADING = "reloading"  # applies a new configuration, then returns to the phase before
+    OUT_OF_SERVICE = "out of service"  # drained by operators, until they end that
+    HANDED_OVER = "handed over"  # a newer process has the listener; open calls end here or are passed on
+    DRAINING = "draining"  # /_health answers 503; clients that stay are served
+    CLOSING = "closing"  # each connection closes after its answer
+    STOPPING = "stopping"  # no call and no attempt is open; the parts are stopped
     STOPPED = "stopped"
