Bound the departed workers, not the list: names of their own for what MOST_KEPT cut

Seen: with 1,100 or 1,500 workers on the list no live one was lost, but MOST_KEPT = 1000 counted listed and departed ones together. Above 1,000 listed, each change of the list dropped every departed worker at once (members.py, _sort). A list that vanished whole and returned, or a worker that was taken off and put back, came back as an unknown one: its suspicion, its rest and what was sent to it while cold were forgotten, so a cold worker could be sent its part twice. Ruled out: a loss of listed workers, or of departed ones with a live attempt (both kept before). exchange.py (_forget) looked through all names at each list above 1,000.

Change: MAX_DEPARTED (2,048) bounds what is kept beside the listed ones, the first known dropped first, and the names kept beside those that the decisions know; MAX_TURNED_AWAY (4,096) bounds remembered refusals.

Measured: the new test fails on the code before at 1,100 and at 1,500 (suspect is lost), and passes now; 6,144 ids that come and go leave at most 2,048 beside the list. tests/test_rules.py, ids that add up: the patched names and the figure (2, as names and workers are bounded apart now); its limit of 8 stands.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -357,8 +357,8 @@
             assert all(len(each) <= 8 for each in known) and meeting.knows("old0")
             assert (await here.post()).body == b"TEXT"
 
-    monkeypatch.setattr(listed, "MOST_KEPT", 5)
-    monkeypatch.setattr(exchange, "MOST_KEPT", 5)
+    monkeypatch.setattr(listed, "MAX_DEPARTED", 2)
+    monkeypatch.setattr(exchange, "MAX_DEPARTED", 2)
     play(scenario())
 
 
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,38 @@
+"""Lists of over a thousand workers, hundreds of dispatchers: nothing is cut short, and memory stays flat."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.helpers import MS, SECOND, Drive, sends, settings
+from weldquay import interface as api
+from weldquay.policy.members import MAX_DEPARTED
+
+READY, GONE = api.WorkerState.READY, api.WorkerState.GONE
+
+
+def changes(numbers: range, state: api.WorkerState) -> api.Membership:
+    """Changes of the list as one event."""
+    return api.Membership(api.ListKind.DELTA, tuple(api.WorkerEntry(number, state) for number in numbers))
+
+
+@pytest.mark.parametrize("count", [1100, 1500])
+def test_a_list_of_any_length_stays_whole(count: int) -> None:
+    """The departed are bounded beside it: none with a job is dropped, and one that returns is still known."""
+    drive = Drive(settings(may_probe=False), workers=count)
+    here = drive.dispatcher
+    drive.step(api.ProbeEnded(7, api.Outcome.CONNECT_FAILED, MS))
+    assert len(here.ready) == count and here.workers[7].suspect
+    (push,) = sends(drive.step(api.Request(1, 0, 9 * SECOND, 1.0, 0.0, None, 0, False)))
+    drive.step(api.Membership(api.ListKind.FULL))
+    assert not here.ready
+    drive.step(drive.list_of(api.ListKind.FULL))
+    assert len(here.ready) == count and here.workers[7].suspect
+    drive.step(changes(range(push.worker, push.worker + 1), GONE))
+    for first in range(count + 1, count + 1 + 3 * MAX_DEPARTED, 512):  # ids that change
+        drive.step(changes(range(first, first + 512), READY))
+        drive.step(changes(range(first, first + 512), GONE))
+        assert len(here.workers) <= count + MAX_DEPARTED
+    assert push.worker in here.workers and {each.entry.worker for each in here.ready} == {
+        number for number in range(1, count + 1) if number != push.worker
+    }
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -16,7 +16,7 @@
 
 from weldquay import interface as api
 from weldquay.policy.dispatcher import Dispatcher
-from weldquay.policy.members import MOST_KEPT
+from weldquay.policy.members import MAX_DEPARTED
 from weldquay.net.calls import Answer, Attempt, Call, Failed, Overload, DiscoverySide, Served, WorkerSide
 from weldquay.net.config import Config, numbered
 from weldquay.net.counters import Counters
@@ -243,7 +243,8 @@
 
     def _forget(self) -> None:
         """Guard against ids that change for years: what the decisions have forgotten goes here too."""
-        if len(self.worker_numbers) > MOST_KEPT and not self.events:
+        most = len(self.dispatcher.workers) + MAX_DEPARTED  # a handover tells of departed ones too
+        if len(self.worker_numbers) > most and not self.events:
             for worker_id, number in list(self.worker_numbers.items()):
                 if number not in self.dispatcher.workers and worker_id not in self.bans:
                     del self.worker_numbers[worker_id], self.worker_names[number]
--- a/weldquay/policy/jobs.py
+++ b/weldquay/policy/jobs.py
@@ -11,8 +11,8 @@
 from weldquay.ledger.records import TRIAL_NS, Attempt, Job, Worker
 from weldquay.policy.draw import LOOK_MOST, Draw
 from weldquay.policy.health import FORGIVE, FRESH_NS, TRIAL_MAX_NS
-from weldquay.policy.members import MOST_KEPT
 
+MAX_TURNED_AWAY = 4096  # refused jobs known at their retries: 1,300 a second over a deadline of 3 s
 PROBE_SPEND = 0.02  # share of the result that probes may cost; their price and the traffic give the pace
 
 
@@ -70,7 +70,7 @@
         self._close(job.request.request)
         if (like := _likeness(job.request)) is not None:
             self.turned_away[like] = job.born_ns
-        if len(self.turned_away) > MOST_KEPT:
+        if len(self.turned_away) > MAX_TURNED_AWAY:
             del self.turned_away[next(iter(self.turned_away))]
         wait_ns = min(jittered_delay_ns(self.random, self.interval.ns), self.settings.max_retry_after_ns)
         self.out.append(Refuse(job.request.request, wait_ns) if harmless else Fail(job.request.request))
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -10,7 +10,7 @@
 from weldquay.ledger.records import Worker
 from weldquay.policy.health import Health
 
-MOST_KEPT = 1000  # jobs remembered for their retries (seconds of overload); workers, those that are gone too
+MAX_DEPARTED = 2048  # workers kept beside the listed: a list that vanishes and returns loses nothing
 
 
 class Members(Health):
@@ -45,9 +45,10 @@
         self.out += [SetTimer(wait_ns, 3)] * (wait_ns > 0)
 
     def _sort(self) -> None:
-        if len(self.workers) > MOST_KEPT:  # ids that change for years must not add up
-            self.workers = {number: worker for number, worker in self.workers.items()
-                            if worker.live or worker.entry.state is not WorkerState.GONE}
+        departed = [number for number, worker in self.workers.items()
+                    if worker.entry.state is WorkerState.GONE and not worker.live]
+        for number in departed[:-MAX_DEPARTED]:  # ids that change for days must not add up
+            del self.workers[number]
         self.ready = [worker for number, worker in self.workers.items()
                       if worker.entry.state is WorkerState.READY and number not in self.banned]
         at = subset([each.entry.common for each in self.ready], self.settings.me, self.settings.dispatchers)
