Let idle connections make room: a lack of descriptors no longer counts against workers

Seen: a process opens at most 3/10 of its descriptors to workers (172 of 576) and keeps up to two idle ones to each. With more workers than that the idle ones held all of them until their limit (12 to 48 s): every other job and probe failed at once (workers.py, _connect) as if its worker had refused it, and the worker was suspected. On loopback, 6 workers and 2 connections, 24 calls one after another: 4 of 6 workers suspected; 60 workers and 8 connections, 200 calls: not through in 20 s. Also seen: a handover's share (limit) closed nothing that was open; each attempt and each look at a call that is passed on went through all workers for their DELETEs; what a forgotten worker's last attempt left idle was never closed. Ruled out: MOST_IDLE as the cause (one idle connection to each is enough).

Change: Workers.idle orders the idle connections of all workers; the longest idle one is closed for a new one. Where none is idle a request waits up to 0.2 s, first come first served, then is moot (a probe: full), and nobody is blamed. A smaller share closes idle connections at once. DELETEs under way are kept by call.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
 from unittest.mock import Mock
 
 import pytest
 
+from example.toy import Message
 from tests.helpers import MS, SECOND, Drive, sends, settings
+from tests.site import Scripted, site, until
 from weldquay import interface as api
 from weldquay.policy.members import MAX_DEPARTED
 
@@ -48,3 +52,35 @@
     drive.step(*(changes(range(number, number + 1), GONE) for number in range(1, 701)))
     assert counted.call_count == 1 and len(drive.dispatcher.ready) == 700
     assert {each.entry.worker for each in drive.dispatcher.home} <= set(range(701, 1401))
+
+
+def test_more_workers_than_connections_are_all_served() -> None:
+    """An idle connection makes room; where none is idle a call waits, and no worker is blamed for it."""
+
+    async def scenario() -> None:
+        async with site(workers=6) as here:
+            side, counts = here.program.workers, here.program.counters.counts
+            await until(lambda: here.program.exchange.listed)
+            side.most_connections = 2
+            for number in range(24):
+                assert (await here.post(f"c{number}")).body == b"TEXT"
+                assert side.open_connections <= 2 and len(side.idle) <= 2
+            assert counts["connections_evicted"] > 2 and not counts["connections_over_limit"]
+            held: list[Message] = []
+            answer = asyncio.Event()
+
+            async def hold(worker: Scripted, message: Message, writer: asyncio.StreamWriter) -> None:
+                held.append(message)
+                await answer.wait()
+                await worker.telling("late")(message, writer)
+
+            for worker in here.workers:
+                worker.script = partial(hold, worker)
+            calls = [asyncio.create_task(here.post(f"d{number}")) for number in range(6)]
+            await until(lambda: len(held) == 2 and side.waiting)
+            answer.set()
+            assert [(await call).body for call in calls] == [b"late"] * 6
+            assert not counts["attempts_connect_failed"] and not counts["probes_connect_failed"]
+            assert not any(worker.suspect for worker in here.program.exchange.dispatcher.workers.values())
+
+    asyncio.run(scenario())
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections import deque
 from dataclasses import dataclass, field, replace
 
 from weldquay import interface as api
@@ -25,6 +26,9 @@
 LATE_ANSWER_S = 2.0  # after a call-back ended its attempt, the 202 may still take this long
 IDLE_PART = 0.8  # a connection idle for this part of its limit is not used again
 MOST_IDLE = 2  # idle connections kept to a worker, the last used
+SLOT_S = (
+    0.2  # a request waits so long for one of the process's connections; with connecting it fits in ACCEPT_S
+)
 SWEEP_S = 1.0
 
 
@@ -35,7 +39,6 @@
     member: Member
     banned: bool = False  # by operators
     idle: list[Connection] = field(default_factory=list)
-    giving_up: dict[str, asyncio.Task[None]] = field(default_factory=dict)  # by the call's id
 
     @property
     def host(self) -> str:
@@ -52,6 +55,9 @@
         self.known: dict[str, Worker] = {}
         self.tasks = Tasks()
         self.sending: dict[Attempt, asyncio.Task[None]] = {}
+        self.giving_up: dict[str, dict[Worker, asyncio.Task[None]]] = {}  # by the call's id
+        self.idle: dict[Connection, Worker] = {}  # to all workers, the longest idle first
+        self.waiting: deque[asyncio.Future[None]] = deque()  # requests that wait for a connection to be free
         self.open_connections = 0
         self.most_connections = self.full = config.sockets * 3 // 10
         self.tasks.start(self._sweep(), "closing of idle connections")
@@ -64,11 +70,15 @@
     def limit(self, part: float) -> None:
         """Hold no more than a part of the connections: another process has the others."""
         self.most_connections = int(self.full * part)
+        for connection in list(self.idle)[: max(0, self.open_connections - self.most_connections)]:
+            self._drop(connection)
+        for _ in range(len(self.waiting)):
+            self._freed()
 
     @property
     def busy(self) -> bool:
         """True while workers are still to be told of something."""
-        return any(worker.giving_up for worker in self.known.values())
+        return bool(self.giving_up)
 
     def follow(self, told: MemberList) -> None:
         """Take in what discovery says; a worker that is gone or has moved keeps no connections."""
@@ -81,7 +91,7 @@
         if told.complete:  # what a whole list does not name is gone
             named = {member.id for member in told.members}
             for worker_id, worker in self.known.items():
-                if worker_id not in named:
+                if worker_id not in named and worker.member.state is not api.WorkerState.GONE:
                     worker.member = replace(worker.member, state=api.WorkerState.GONE)
                     self.close_idle(worker_id)
 
@@ -105,12 +115,14 @@
         if (worker := self.known.get(attempt.worker_id)) is None:
             return  # forgotten: it has long gone
         call = attempt.call.id
-        task = self.tasks.start(self._delete(worker, call), f"giving up of {call}")
-        worker.giving_up[call] = task
+        told = self.giving_up.setdefault(call, {})
+        told[worker] = task = self.tasks.start(self._delete(worker, call), f"giving up of {call}")
 
         def done(ended: asyncio.Task[None]) -> None:
-            if worker.giving_up.get(call) is ended:
-                del worker.giving_up[call]
+            if told.get(worker) is ended:
+                del told[worker]
+            if not told and self.giving_up.get(call) is told:
+                del self.giving_up[call]
 
         task.add_done_callback(done)
 
@@ -128,9 +140,7 @@
 
     def is_telling(self, call: Call) -> bool:
         """True while a worker is being sent a call, or told that nobody waits for it."""
-        return any(each.call is call for each in self.sending) or any(
-            call.id in worker.giving_up for worker in self.known.values()
-        )
+        return call.id in self.giving_up or any(each.call is call for each in self.sending)
 
     def members(self) -> list[Member]:
         """The workers that the list names."""
@@ -151,16 +161,19 @@
 
     def close_idle(self, worker_id: str) -> None:
         """Close the idle connections to a worker."""
-        worker = self.known[worker_id]
-        for connection in worker.idle:
-            connection.abort()
-        worker.idle.clear()
+        for connection in list(self.known[worker_id].idle):
+            self._drop(connection)
+
+    def _drop(self, connection: Connection) -> None:
+        """Close an idle connection."""
+        self.idle.pop(connection).idle.remove(connection)
+        connection.abort()
 
     async def stop(self) -> None:
         """End all that is still under way."""
         await self.tasks.stop()
-        for worker_id in self.known:
-            self.close_idle(worker_id)
+        for connection in list(self.idle):
+            self._drop(connection)
 
     async def _attempt(self, attempt: Attempt) -> None:
         worker = self.known[attempt.worker_id]
@@ -168,11 +181,8 @@
         # the settings allow no second copy that holds for all workers: a reset may have taken back a 202, and
         # the job runs on until the DELETE has come.
         several = self.config.settings.may_duplicate
-        if earlier := {
-            task
-            for each in ((worker,) if several else self.known.values())
-            if (task := each.giving_up.get(attempt.call.id)) is not None
-        }:
+        told = self.giving_up.get(attempt.call.id, {})
+        if earlier := {task for each, task in told.items() if each is worker or not several}:
             await asyncio.wait(earlier)
         job = attempt.call.payload
         assert isinstance(job, Job)
@@ -233,6 +243,8 @@
                 reply = await self._ask(worker, b"GET", target, [(b"Host", worker.host.encode())])
             load = load_in(reply.body, self.config.report_fields)
             outcome = {200: api.Outcome.OK, 503: api.Outcome.FULL}.get(reply.status, api.Outcome.ERROR)
+        except Moot:  # too few connections here: it is asked less, and nothing tells against it
+            outcome = api.Outcome.FULL
         except NotWritten:
             outcome = api.Outcome.CONNECT_FAILED
         except Broken:
@@ -268,8 +280,10 @@
             reused = connection.rest()
             if reused:
                 worker.idle.append(connection)
-                while len(worker.idle) > MOST_IDLE:
-                    worker.idle.pop(0).abort()
+                self.idle[connection] = worker
+                if len(worker.idle) > MOST_IDLE:
+                    self._drop(worker.idle[0])
+                self._freed()
             return reply
         finally:
             if not reused:
@@ -293,27 +307,58 @@
     def _idle(self, worker: Worker) -> Connection | None:
         """An idle connection that may be used again, the last used first."""
         while worker.idle:
-            connection = worker.idle.pop()
+            connection = worker.idle[-1]
             if time.monotonic() - connection.idle_since < self.idle_limit_s and connection.usable():
+                del self.idle[worker.idle.pop()]
                 connection.wake()
                 return connection
-            connection.abort()
+            self._drop(connection)
         return None
 
+    async def _slot(self) -> None:
+        """Wait until one more connection may be opened; the longest idle one makes room.
+
+        Guards against more workers than connections: idle ones to some would keep all others from jobs.  Moot
+        where none comes free: the lack is this process's own, and tells nothing against the worker.
+        """
+        try:
+            async with asyncio.timeout(SLOT_S):
+                while self.open_connections >= self.most_connections:
+                    if self.idle:
+                        self.counters.add("connections_evicted")
+                        self._drop(next(iter(self.idle)))
+                    free = asyncio.get_running_loop().create_future()
+                    self.waiting.append(free)
+                    try:
+                        await free
+                    except asyncio.CancelledError:
+                        if free.done() and not free.cancelled():
+                            self._freed()  # it was this one's turn: the next has it
+                        raise
+        except TimeoutError:
+            self.counters.add("connections_over_limit")
+            raise Moot from None
+
+    def _freed(self) -> None:
+        """Wake the request that has waited longest: a connection has been closed, or is idle."""
+        while self.waiting:
+            if not (free := self.waiting.popleft()).done():
+                free.set_result(None)
+                return
+
     async def _connect(self, worker: Worker) -> Connection:
         if self.open_connections >= self.most_connections:
-            self.counters.add("connections_over_limit")
-            raise NotWritten
+            await self._slot()
         self.open_connections += 1
         try:
             async with asyncio.timeout(self.config.connect_timeout_ns / 1e9):
                 reader, writer = await connect(worker.member.host, worker.member.port, READ_SIZE)
         except OSError as error:  # a TimeoutError is one
-            self.open_connections -= 1
+            self._closed()
             self.counters.add("connections_failed")
             raise NotWritten from error
         except BaseException:
-            self.open_connections -= 1
+            self._closed()
             raise
         self.counters.add("connections")
         self.tasks.start(self._count_out(writer), "a connection's end")
@@ -325,16 +370,17 @@
         except OSError:
             pass
         finally:
-            self.open_connections -= 1
+            self._closed()
+
+    def _closed(self) -> None:
+        self.open_connections -= 1
+        self._freed()
 
     async def _sweep(self) -> None:
         """Close idle connections that the peer has closed or that are near their limit."""
         while True:
             await asyncio.sleep(SWEEP_S)
-            for worker in self.known.values():
-                before = time.monotonic() - self.idle_limit_s
-                kept = [each for each in worker.idle if each.idle_since > before and each.usable()]
-                for connection in worker.idle:
-                    if connection not in kept:
-                        connection.abort()
-                worker.idle = kept
+            before = time.monotonic() - self.idle_limit_s
+            for connection in list(self.idle):
+                if connection.idle_since <= before or not connection.usable():
+                    self._drop(connection)
