Cut the handover's lists by bytes, not by 400 rows

Seen: the list passes to a newer process 400 rows a message (handover.IDS), whatever they hold; a message is at most 160 KiB. With 1,100 workers whose ids have 400 characters each piece was longer, the link broke, and the newer process knew one worker (that of its file) of 1,101 while discovery was away. With short ids (20 characters) all passed. Ruled out: the messages of one worker each, which are short.

Change: handover.pieces cuts rows by the sizes that they have as JSON, half of a message at the most, for the members and for the ids of open calls.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -3,20 +3,50 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from functools import partial
 from unittest.mock import Mock
 
 import pytest
 
-from example.toy import Message
+from example.toy import Discovery, Message, request, write_message
 from tests.helpers import MS, SECOND, Drive, sends, settings
 from tests.site import Scripted, site, until
+from tests.test_handover import newer
 from weldquay import interface as api
+from weldquay.net import program
+from weldquay.net.program import Phase
 from weldquay.policy.members import MAX_DEPARTED
 
 READY, GONE = api.WorkerState.READY, api.WorkerState.GONE
 
 
+class Fleet(Scripted):
+    """Any number of workers in one server; the address that a job came to tells which of them has it."""
+
+    async def start(self, port: int = 0) -> None:
+        """Listen at all loopback addresses."""
+        self.servers.append(await asyncio.start_server(self._serve, "0.0.0.0", port))
+
+    def list_at(self, discovery: Discovery, count: int, pad: int = 0) -> None:
+        """List so many workers, with ids of so many characters at the least."""
+        port = self.address.rpartition(":")[2]
+        for number in range(count):
+            host = f"127.1.{number // 250}.{number % 250 + 1}"
+            discovery.put(f"{host}:{port}".ljust(pad, "x"), [f"{host}:{port}"])
+
+    async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Serve as the worker that is meant."""
+        self.name = message.headers["host"]
+        await super().answer(message, writer)
+
+    async def run(self, call: str, body: bytes) -> None:
+        """Done at once."""
+        name = self.name
+        told = json.dumps({"id": call, "from": name, "state": "done", "result": "done"}).encode()
+        await request(self.dispatcher, write_message("POST /callback HTTP/1.1", told))
+
+
 def changes(numbers: range, state: api.WorkerState) -> api.Membership:
     """Changes of the list as one event."""
     return api.Membership(api.ListKind.DELTA, tuple(api.WorkerEntry(number, state) for number in numbers))
@@ -84,3 +114,27 @@
             assert not any(worker.suspect for worker in here.program.exchange.dispatcher.workers.values())
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("pad", [0, 400])
+def test_a_handover_passes_all_workers(pad: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """With discovery away the newer process has them from the older one alone, however long their ids are."""
+
+    async def scenario() -> None:
+        async with site() as here:
+            fleet = Fleet("", "")
+            await fleet.start()
+            fleet.list_at(here.discovery, 1100, pad)
+            await here.discovery.tell()
+            named = {each["id"] for each in here.discovery.members.values()}
+            await until(lambda: {each.id for each in here.program.workers.members()} == named)
+            here.discovery.stop()
+            async with newer(here) as second:
+                assert {each.id for each in second.workers.members()} == named
+                assert len(second.exchange.dispatcher.ready) == len(named) == 1101
+                assert second.counters.counts["handover_worker"] == 1101
+                assert second.phase is Phase.SERVING and here.program.phase is Phase.HANDED_OVER
+            fleet.stop()
+
+    monkeypatch.setattr(program, "LIST_S", 0.2)  # so long it waits for discovery, too
+    asyncio.run(scenario())
--- a/weldquay/net/handover.py
+++ b/weldquay/net/handover.py
@@ -11,7 +11,7 @@
 import os
 import socket
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -28,7 +28,7 @@
 ASK_S = 1.5  # an older process that does not answer by then is left out
 TAKE_S = 1.5  # nor is it waited for any longer once this one is ready
 AGAIN_S = 0.01  # the system has too many descriptors on their way
-IDS = 400  # or members, in one message
+MAX_PIECE = MAX_MESSAGE // 2  # bytes of rows in one message
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +54,20 @@
         return cls(kind, told, data, file)
 
 
+def pieces(rows: Iterable[Any]) -> Iterator[list[Any]]:
+    """Rows in as many lists as messages need: by their sizes, as ids and addresses may be long."""
+    piece, size = list[Any](), 0
+    for row in rows:
+        length = len(ujson.dumps(row)) + 1
+        if piece and size + length > MAX_PIECE:
+            yield piece
+            piece, size = [], 0
+        piece.append(row)
+        size += length
+    if piece:
+        yield piece
+
+
 class Link:
     """A connection to the other process: whole messages both ways, in order."""
 
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -22,7 +22,7 @@
 from weldquay.net.config import Config, ConfigError, reload
 from weldquay.net.counters import Counters
 from weldquay.net.exchange import Exchange
-from weldquay.net.handover import IDS, Handover, Message
+from weldquay.net.handover import Handover, Message, pieces
 from weldquay.net.persistence import BanList, StateFile
 from weldquay.net.messages import MessageError, callback, member_line, member_list
 from weldquay.net.operators import Operators
@@ -160,13 +160,13 @@
             return None
         self.server.limit(NEWER_FILES)
         self.workers.limit(1 - NEWER_PART)
-        members = self.workers.members()
-        for at in range(0, len(members), IDS) if self.exchange.listed else ():
+        members = map(member_line, self.workers.members())
+        for piece in pieces(members) if self.exchange.listed else ():
             self.handover.send(
                 "members",
                 revision=self.discovery.revision,
                 discovery=self.discovery.config.discovery,
-                members=[member_line(each) for each in members[at : at + IDS]],
+                members=piece,
             )
         told = {
             "bans": sorted(self.exchange.bans),
@@ -183,9 +183,8 @@
         self._enter(Phase.HANDED_OVER)
         for worker_id, told in self.exchange.remember().items():
             self.handover.send("worker", id=worker_id, memory=told, at=self.workers.address(worker_id))
-        ids = list(self.server.in_hand)
-        for at in range(0, len(ids), IDS):
-            self.handover.send("open", ids=ids[at : at + IDS])
+        for ids in pieces(self.server.in_hand):
+            self.handover.send("open", ids=ids)
         self.handover.send("held", clients=len(self.server.connections))
         self.server.hand_over(self._pass_client)
         self.tasks.start(self._tell_held(), "telling of the connections that are left")
