--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -4,26 +4,40 @@
 
 import asyncio
 import json
+import os
+import resource
+import sys
+from collections import Counter
 from functools import partial
+from pathlib import Path
+from typing import Any, NamedTuple
 from unittest.mock import Mock
 
 import pytest
 
-from example.toy import Discovery, Message, request, write_message
+from example.toy import NO_LOAD, Discovery, Message, write_message
 from tests.helpers import MS, SECOND, Drive, sends, settings
-from tests.site import Scripted, site, until
+from tests.site import ACCEPTED, Scripted, document, site, until
+from tests.test_descriptors import addresses, free_port
 from tests.test_handover import newer
 from weldquay import interface as api
+from weldquay.lab.http import Pool
 from weldquay.net import program
 from weldquay.net.program import Phase
 from weldquay.policy.members import MAX_DEPARTED
 
+SOCKETS, MEMORY_MB = 576, 88
+SPARE = 2  # descriptors that are never taken
 READY, GONE = api.WorkerState.READY, api.WorkerState.GONE
 
 
 class Fleet(Scripted):
     """Any number of workers in one server; the address that a job came to tells which of them has it."""
 
+    def __init__(self, dispatcher: str = "") -> None:
+        super().__init__("", dispatcher)
+        self.pools: dict[str, Pool] = {}
+
     async def start(self, port: int = 0) -> None:
         """Listen at all loopback addresses."""
         self.servers.append(await asyncio.start_server(self._serve, "0.0.0.0", port))
@@ -36,15 +50,24 @@
             discovery.put(f"{host}:{port}".ljust(pad, "x"), [f"{host}:{port}"])
 
     async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
-        """Serve as the worker that is meant."""
-        self.name = message.headers["host"]
-        await super().answer(message, writer)
-
-    async def run(self, call: str, body: bytes) -> None:
-        """Done at once."""
-        name = self.name
-        told = json.dumps({"id": call, "from": name, "state": "done", "result": "done"}).encode()
-        await request(self.dispatcher, write_message("POST /callback HTTP/1.1", told))
+        """Take a job and be done with it at once, as the worker that is meant."""
+        if message.method == "POST":
+            name, call = message.headers["host"], message.headers["x-correlation-id"]
+            self.jobs[call] = asyncio.create_task(self.done(name, call))
+            writer.write(ACCEPTED)
+        else:
+            await super().answer(message, writer)
+
+    async def done(self, name: str, call: str) -> None:
+        """The call-back, on the connection that this worker keeps."""
+        pool = self.pools.setdefault(name, Pool(self.dispatcher))
+        told = {"id": call, "from": name, "state": "done", "result": "done"}
+        await pool.ask(write_message("POST /callback HTTP/1.1", json.dumps(told).encode()))
+        del self.jobs[call]
+
+    def load(self) -> dict[str, float]:
+        """Each of them has room."""
+        return NO_LOAD
 
 
 def changes(numbers: range, state: api.WorkerState) -> api.Membership:
@@ -122,7 +145,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            fleet = Fleet("", "")
+            fleet = Fleet()
             await fleet.start()
             fleet.list_at(here.discovery, 1100, pad)
             await here.discovery.tell()
@@ -138,3 +161,77 @@
 
     monkeypatch.setattr(program, "LIST_S", 0.2)  # so long it waits for discovery, too
     asyncio.run(scenario())
+
+
+class Load(NamedTuple):
+    """What a process of its own held at most while calls went through it."""
+
+    descriptors: int
+    resident_mb: float
+    answers: Counter[int]
+    counters: dict[str, float]
+
+
+async def play(path: Path, workers: int, clients: int, calls: int, body: bytes, **settings: Any) -> Load:
+    """Start a dispatcher as the deployment does, have clients call, each on a connection that it keeps."""
+    listen = f"127.0.0.1:{free_port()}"
+    fleet, discovery, told = Fleet(listen), Discovery(), document(**settings)
+    await fleet.start()
+    await discovery.start()
+    fleet.list_at(discovery, workers)
+    told |= {"listen": listen, "mgmt": None, "discovery": discovery.address, "known": discovery.told()}
+    told["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    path.write_text(json.dumps(told))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "weldquay"),
+        env={**os.environ, "GW_CONFIG": str(path)},
+        preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    most, answers = 0, Counter[int]()
+
+    async def client(number: int) -> None:
+        nonlocal most
+        pool = Pool(listen)
+        for each in range(calls):
+            head = f"X-Correlation-Id: c{number}-{each}", "X-Time-Left-Ms: 5000"
+            answer = await pool.ask(write_message("POST /lookup/a HTTP/1.1", body, *head))
+            answers[answer.status] += 1
+            most = max(most, len(os.listdir(f"/proc/{process.pid}/fd")))
+        pool.close()
+
+    try:
+        async with asyncio.timeout(60):
+            await addresses(process)
+            await asyncio.gather(*map(client, range(clients)))
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            process.terminate()
+            assert process.stderr is not None
+            log = (await process.stderr.read()).decode()
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        fleet.stop()
+        discovery.stop()
+    peak_kb = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+    return Load(most, peak_kb / 1024, answers, json.loads(log.rpartition("counters ")[2].splitlines()[0]))
+
+
+@pytest.mark.parametrize("dispatchers", [3, 410])
+def test_the_program_stays_within_what_a_deployment_gives(tmp_path: Path, dispatchers: int) -> None:
+    """Calls go through one after another, with 1,100 workers; `pytest -s` prints what was held."""
+    told = {"group_size": dispatchers, "me": dispatchers - 1}
+    load = asyncio.run(play(tmp_path / "config.json", 1100, 20, 25, b"x" * 1024, **told))
+    print(dispatchers, load)
+    assert load.answers == {200: 500} and not load.counters.get("attempts_connect_failed")
+    assert load.descriptors <= SOCKETS - SPARE and load.resident_mb < MEMORY_MB
+
+
+def test_a_crowd_with_large_bodies_stays_within_them_too(tmp_path: Path) -> None:
+    """As many clients as there is room for, all at once, and 1,100 workers that keep connections."""
+    load = asyncio.run(play(tmp_path / "config.json", 1100, 300, 3, b"x" * 65536, group_size=3, me=2))
+    print(load)
+    assert load.answers.total() == 900 and load.answers.keys() <= {200, 503}
+    assert load.descriptors <= SOCKETS - SPARE and load.resident_mb < MEMORY_MB
--- a/weldquay/net/connection.py
+++ b/weldquay/net/connection.py
@@ -304,6 +304,7 @@
         request = self.request
         assert request is not None
         body: Body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
+        self.body = [body]  # in one piece only: with those that it came in it would be held twice
         path = request.target.split(b"?", 1)[0]
         job_class = self.server.classes.get(class_name(path))
         try:
