Hold lists of 1,100 workers and 410 dispatchers to tests; ranks of 16,384 turns kept

Seen: slow_start.rank keeps its last 4,096 answers. Ruled out: a cap on the way of a list (lines.Values, messages.members, Workers.follow, Members._follow), in one value or in several.

Change: maxsize 16,384 (228 bytes each, 3.7 MB once all are used). Tests: 1,100 workers in one value, as 11 lines of changes, 700 changes in one value, on loopback; any of 410 dispatchers, and the workers that each turns to.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import sys
+import zlib
 from collections import Counter
 from functools import partial
 from pathlib import Path
@@ -15,13 +16,15 @@
 
 import pytest
 
-from example.toy import NO_LOAD, Discovery, Message, write_message
+from example.toy import NO_LOAD, Discovery, Message, Server, write_message
 from tests.helpers import MS, SECOND, Drive, sends, settings
 from tests.site import ACCEPTED, Scripted, document, site, until
 from tests.test_descriptors import addresses, free_port
 from tests.test_handover import newer
 from weldquay import interface as api
-from weldquay.lab.http import Pool
+from weldquay.fleet.subset import subset
+from weldquay.lab.http import Pool, write_line
+from weldquay.net.config import read
 from weldquay.net import program
 from weldquay.net.program import Phase
 from weldquay.policy.members import MAX_DEPARTED
@@ -139,6 +142,66 @@
     asyncio.run(scenario())
 
 
+class Told(Server):
+    """Discovery that writes these values to a watch, each once the test says so, and then is silent."""
+
+    def __init__(self, values: list[Any]) -> None:
+        super().__init__()
+        self.values, self.go = values, asyncio.Semaphore(0)
+
+    async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """A watch."""
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for value in self.values:
+            await self.go.acquire()
+            for line in value:
+                write_line(writer, json.dumps(line).encode())
+        await asyncio.Event().wait()
+
+
+def test_a_list_comes_whole_in_one_value_and_changes_in_any_number() -> None:
+    """1,100 workers in one value, all of them as changes in 11 lines, 700 changes in one value."""
+
+    def value(complete: bool, revision: int, numbers: range, phase: str) -> dict[str, Any]:
+        told = Discovery()
+        for number in numbers:
+            told.put(f"m{number}", [f"127.1.{number // 250}.{number % 250 + 1}:9"], phase)
+        return {"revision": revision, "complete": complete, "members": [*told.members.values()]}
+
+    lines = [value(False, 3 + n, range(100 * n, 100 * n + 100), "DRAINING") for n in range(11)]
+    tellings = [
+        [value(True, 2, range(1100), "SERVING")],
+        lines,
+        [value(False, 14, range(700), "SERVING")],
+        [value(False, 15, range(700), "DELETED")],
+        [value(False, 16, range(700), "SERVING"), value(False, 17, range(700, 1100), "SERVING")],
+    ]
+
+    async def scenario() -> None:
+        discovery = Told(tellings)
+        async with site(workers=0, discovery=discovery) as here:
+            decisions, side = here.program.exchange.dispatcher, here.program.workers
+            for ready, listed in ((1100, 1100), (0, 1100), (700, 1100), (0, 400), (1100, 1100)):
+                discovery.go.release()
+                await until(lambda: len(decisions.ready) == ready)  # noqa: B023
+                assert len(side.members()) == listed
+            assert len(side.known) == len(decisions.workers) == 1100
+            assert here.program.counters.counts["lists_failed"] == 0
+
+    asyncio.run(scenario())
+
+
+def test_any_dispatcher_of_410_finds_its_place() -> None:
+    """The settings take the number, and each has some workers of 1,400 that it turns to first."""
+    config = read({}, document(group_size=410, me=409))
+    assert (config.settings.dispatchers, config.settings.me) == (410, 409)
+    with pytest.raises(ValueError, match="setting me is not among the 410 dispatchers"):
+        read({}, document(group_size=410, me=410))
+    common = [zlib.crc32(b"%d" % number) for number in range(1400)]
+    sharers = Counter(place for me in range(410) for place in subset(common, me, 410))
+    assert len(sharers) == 1400 and min(sharers.values()) >= 3
+
+
 @pytest.mark.parametrize("pad", [0, 400])
 def test_a_handover_passes_all_workers(pad: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """With discovery away the newer process has them from the older one alone, however long their ids are."""
--- a/weldquay/fleet/slow_start.py
+++ b/weldquay/fleet/slow_start.py
@@ -130,7 +130,7 @@
     return each_ns if mine else 0.0, begin_ns
 
 
-@lru_cache(maxsize=4096)  # asked again at each step of a slice, for each cold worker
+@lru_cache(maxsize=16384)  # asked again at each step of a slice: cold workers times instances in a process
 def rank(worker: int, number: int, me: int, dispatchers: int) -> int:
     """The place of a dispatcher in a slice's order, from 0; the same at all of them."""
     salt = mix(worker * 0x9E3779B97F4A7C15 + number)
