Tell a stall of the process from a worker that does not answer; accept 4 a turn

Seen, 1,100 workers, 300 clients at once, 576 descriptors: a step of 1 to 2 s lets every time-out fire that began before it. Connections that had come up meanwhile were given up after 250 ms, attempts after 0.6 s, as if their workers had not answered: up to 69 connections and 328 attempts of 900 calls ended as connect failed, and their workers were suspected.

Change: a time-out that fires 0.1 s late or more ends the attempt as moot, a probe as full. Four connections are accepted a turn, so that 20 are not counted yet at the most.

The stall itself stands: it is the draw's cost a job.

--- a/weldquay/net/server.py
+++ b/weldquay/net/server.py
@@ -24,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 WAITING = 1024  # connections in the system's queue; beyond that they come again only after a second
-TAKEN = 8  # connections accepted in one turn of the loop: the others' work goes on in between
+TAKEN = 4  # connections accepted in one turn of the loop, and counted four turns later: `limits.RESERVE`
 LEAST_CONNECTIONS = 8  # whatever another process holds
 REQUEST_S = 2.6  # from a connection's or a request's first moment to its last byte; bad clients get 3 s
 SWEEP_S = 0.1
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -29,6 +29,7 @@
 SLOT_S = (
     0.2  # a request waits so long for one of the process's connections; with connecting it fits in ACCEPT_S
 )
+STALL_S = 0.1  # a time-out that comes so late tells of a stall here, and nothing of the worker
 SWEEP_S = 1.0
 
 
@@ -189,6 +190,7 @@
         left_ns = attempt.deadline_ns - time.monotonic_ns()
         headers = job_headers(attempt.call.id, job, left_ns, worker.host)
         wait_s = ACCEPT_S if attempt.call.safe else left_ns / 1e9 + LATE_ANSWER_S
+        due = time.monotonic() + wait_s
         try:
             async with asyncio.timeout(wait_s):
                 reply = await self._ask(worker, job.method, job.target, headers, job.body, attempt)
@@ -204,7 +206,8 @@
                 self._tell_given_up(attempt)
         except TimeoutError:
             if not attempt.written:  # it waited for its connection all the time
-                self.exchange.attempt_ended(attempt, api.Outcome.CONNECT_FAILED)
+                outcome = api.Outcome.MOOT if self._stalled(due) else api.Outcome.CONNECT_FAILED
+                self.exchange.attempt_ended(attempt, outcome)
                 return
             self.counters.add("answers_missing")
             # Guards against connections that fall silent: what may run again must not wait for its deadline.
@@ -243,7 +246,7 @@
                 reply = await self._ask(worker, b"GET", target, [(b"Host", worker.host.encode())])
             load = load_in(reply.body, self.config.report_fields)
             outcome = {200: api.Outcome.OK, 503: api.Outcome.FULL}.get(reply.status, api.Outcome.ERROR)
-        except Moot:  # too few connections here: it is asked less, and nothing tells against it
+        except Moot:  # too few connections here, or no time: it is asked less, and nothing tells against it
             outcome = api.Outcome.FULL
         except NotWritten:
             outcome = api.Outcome.CONNECT_FAILED
@@ -350,11 +353,14 @@
         if self.open_connections >= self.most_connections:
             await self._slot()
         self.open_connections += 1
+        due = time.monotonic() + self.config.connect_timeout_ns / 1e9
         try:
             async with asyncio.timeout(self.config.connect_timeout_ns / 1e9):
                 reader, writer = await connect(worker.member.host, worker.member.port, READ_SIZE)
         except OSError as error:  # a TimeoutError is one
             self._closed()
+            if isinstance(error, TimeoutError) and self._stalled(due):
+                raise Moot from error
             self.counters.add("connections_failed")
             raise NotWritten from error
         except BaseException:
@@ -364,6 +370,12 @@
         self.tasks.start(self._count_out(writer), "a connection's end")
         return Connection(reader, writer)
 
+    def _stalled(self, due: float) -> bool:
+        """True where a time-out comes so late that this process stood still, whatever the worker did."""
+        if late := time.monotonic() > due + STALL_S:
+            self.counters.add("connections_stalled")
+        return late
+
     async def _count_out(self, writer: asyncio.StreamWriter) -> None:
         try:
             await writer.wait_closed()
