--- a/weldquay/net/http_channel.py
+++ b/weldquay/net/http_channel.py
@@ -94,7 +94,9 @@
     @property
     def body(self) -> Body:
         """The body of the current request; where it came in one piece, a view of what was read."""
-        return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
+        if len(self.parts) != 1:
+            self.parts = [b"".join(self.parts)]  # with the parts that it came in it would be held twice
+        return self.parts[0]
 
     @property
     def trailing(self) -> bytes:
--- a/weldquay/net/server.py
+++ b/weldquay/net/server.py
@@ -25,7 +25,9 @@
 log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024  # connections in the system's queue; beyond it clients repeat their SYN after a second
-MAX_ACCEPTS = 8  # connections accepted in one turn of the event loop
+MAX_ACCEPTS = (
+    4  # connections accepted in one turn of the event loop, counted four turns later: limits.RESERVE
+)
 MIN_CONNECTIONS = 8  # however many another process of this dispatcher holds
 # From a connection's start, or a later request's first byte, to the request's last byte; the protocol allows
 # bad clients 3 s.
