--- /dev/null
+++ b/weldquay/net/list_intake.py
@@ -0,0 +1,117 @@
+"""The list of workers on its way to the decisions: what the exchange takes in from discovery's client.
+
+It maps ids on the sockets to the numbers of the decision module, and tells operators when requests wait for
+discovery because the list may be out of date.
+"""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from abc import ABC, abstractmethod
+
+from weldquay import interface as api
+from weldquay.policy.dispatcher import Dispatcher
+from weldquay.policy.members import MAX_DEPARTED
+from weldquay.net.calls import Call, WorkerSide
+from weldquay.net.counters import Counters
+from weldquay.net.messages import Member, MemberList
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+
+
+class ListIntake(ABC):
+    """The base of `Exchange` that takes in the list; `Exchange` has the events and the calls."""
+
+    counters: Counters
+    workers: WorkerSide
+    dispatcher: Dispatcher
+    events: list[api.Event]
+    calls: dict[int, Call]
+    bans: set[str]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    epoch_ns: int
+    last_worker: int
+    worker_numbers: dict[str, int]
+    worker_names: dict[int, str]
+    waits_for_list: bool
+
+    @abstractmethod
+    def _tell(self, event: api.Event) -> None: ...
+
+    def follow(self, told: MemberList, kind: api.ListKind, lease_until_ns: int = 0) -> None:
+        """Take in the list, or changes of it; lease_until_ns: an earlier process's, of a cached list."""
+        self.counters.add(f"lists_{kind.value}")
+        self._forget()
+        for member in told.members:
+            self._number(member.id)
+        self.workers.follow(told)
+        entries = tuple(self._entry(member) for member in told.members)
+        self._tell(api.Membership(kind, entries, lease_until_ns=lease_until_ns))
+
+    def _forget(self) -> None:
+        """Guard against ids that change for years: what the decisions have forgotten goes here too."""
+        most = len(self.dispatcher.workers) + MAX_DEPARTED  # a handover tells of departed ones too
+        if len(self.worker_numbers) > most and not self.events:
+            for worker_id, number in list(self.worker_numbers.items()):
+                if number not in self.dispatcher.workers and worker_id not in self.bans:
+                    del self.worker_numbers[worker_id], self.worker_names[number]
+                    self.workers.forget(worker_id)
+
+    def _number(self, worker_id: str) -> int:
+        """The number of a worker, a new one where it has none."""
+        if worker_id not in self.worker_numbers:
+            self.last_worker += 1
+            number = self.last_worker
+            self.worker_numbers[worker_id], self.worker_names[number] = number, worker_id
+        return self.worker_numbers[worker_id]
+
+    def list_current(self) -> None:
+        """Discovery tells that nothing has changed."""
+        self._tell(api.Membership(api.ListKind.CURRENT))
+
+    def list_moved(self) -> None:
+        """A reload has given discovery another address."""
+        self._tell(api.Membership(api.ListKind.MOVED))
+
+    @property
+    def listed(self) -> bool:
+        """True once discovery has told this process, or the one before it, which workers there are."""
+        return self.dispatcher.lease.granted
+
+    @property
+    def list_lease_until_ns(self) -> int:
+        """Until when attempts may begin by the list that is known, on the monotonic clock; 0: not at all."""
+        return self.dispatcher.lease.until_ns
+
+    def list_failed(self, silent_ns: int, failure: api.ListFailure) -> None:
+        """A call to discovery failed, or its watch has ended, so long after its last good news."""
+        self.counters.add("lists_failed")
+        self._tell(api.Membership(api.ListKind.FAILED, silent_ns=silent_ns, failure=failure))
+
+    def _entry(self, member: Member) -> api.WorkerEntry:
+        """A member in the module's numbers and on its clock; a start before the clock's is long ago."""
+        started_ns = member.up_since_ms * MS - self.epoch_ns if member.up_since_ms else 0
+        return api.WorkerEntry(
+            self.worker_numbers[member.id],
+            member.state,
+            member.cell,
+            self.kinds[member.kind],
+            self.zones[member.zone],
+            max(0, started_ns),
+            member.weight,
+            zlib.crc32(f"{member.id} {member.up_since_ms}".encode()),
+        )
+
+    def _watch_lease(self, now_ns: int) -> None:
+        """Tell operators when requests begin to wait for discovery, and when that is over."""
+        waits = now_ns >= self.list_lease_until_ns and bool(self.calls)
+        if waits and not self.waits_for_list:
+            self.counters.add("list_leases_expired")
+            log.warning("requests wait: the list of workers may be out of date until discovery answers")
+        elif self.waits_for_list and now_ns < self.list_lease_until_ns:
+            log.info("the list of workers is up to date again")
+        self.waits_for_list = now_ns >= self.list_lease_until_ns and (waits or self.waits_for_list)
