Scale run: hollow dispatchers beside real ones, measured by role

lab/http.Pool.connect, lab/servers.MatchWorker.pool and lab/site.make_node are hooks for it; nothing else changed there.

--- a/weldquay/lab/http.py
+++ b/weldquay/lab/http.py
@@ -76,7 +76,11 @@
                 return await self._ask(kept, data)
             except (asyncio.IncompleteReadError, ConnectionError):
                 continue  # closed between two requests, as servers may
-        return await self._ask(await asyncio.open_connection(self.host, self.port), data)
+        return await self._ask(await self.connect(), data)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A new connection."""
+        return await asyncio.open_connection(self.host, self.port)
 
     async def _ask(
         self,
--- /dev/null
+++ b/weldquay/lab/scale/decisions.py
@@ -0,0 +1,154 @@
+"""What a request costs the decisions, by the number of workers and of dispatchers in the settings.
+
+Played: the decision module in virtual time against model workers (`lab.direct`), at the rate that a
+dispatcher has at the users' size.  Each step is timed; the sum over a run, by request, is the figure: the
+step that takes the request in, those for its probes and its end, the timers between.  Few workers have news.
+
+All told: every worker has just reported, which is the most that a request can cost; the steps of one request.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from weldquay import interface as api
+from weldquay.lab import load as loads
+from weldquay.lab import model
+from weldquay.lab.direct import Run
+from weldquay.lab.scale.points import JOBS, WORK_NS, settings
+from weldquay.policy.dispatcher import Dispatcher
+from weldquay.settings import Pairs, decode_settings
+
+RATE = 20.0  # requests a second
+WORKERS = (10, 100, 400, 1400)
+DISPATCHERS = (1, 410)
+REQUESTS = 200  # ten seconds
+TOLD_REQUESTS = 9
+REPEATS = 3
+Say = Callable[[str], None]
+
+
+class Cost(msgspec.Struct):
+    """The cost of one size; each list has a figure a repeat, in microseconds of processor time."""
+
+    workers: int
+    dispatchers: int
+    requests: int  # in each repeat
+    request_us: list[float]  # all steps of a request together, played
+    told_us: list[float]  # the same where every worker has just reported
+    change_us: list[float]  # a step that takes in a list change of one worker
+    list_us: list[float]  # a step that takes in the whole list
+    probes: list[float]  # a request
+
+
+class Timed:
+    """A dispatcher whose steps are timed."""
+
+    def __init__(self, inner: Dispatcher) -> None:
+        self.inner, self.spent_s = inner, 0.0
+
+    def step(self, now_ns: int, events: list[api.Event]) -> list[api.Action]:
+        """One step of the dispatcher."""
+        begun = time.process_time()
+        actions = self.inner.step(now_ns, events)
+        self.spent_s += time.process_time() - begun
+        return actions
+
+
+def arrivals(requests: int, seed: int) -> list[loads.Arrival]:
+    """Jobs at one dispatcher, at moments drawn from a seed."""
+    draw, at_ns, found = random.Random(seed), 0.0, []
+    for number in range(requests):
+        at_ns += draw.expovariate(RATE) * model.SECOND
+        found.append(loads.Arrival(number, int(at_ns), 0, 0, float(WORK_NS), 1, 0.5, None))
+    return found
+
+
+def measure(workers: int, dispatchers: int, requests: int = REQUESTS, repeats: int = REPEATS) -> Cost:
+    """Play one size so many times."""
+    cost = Cost(workers, dispatchers, requests, [], [], [], [], [])
+    told = decode_settings(Pairs.from_nested(settings(dispatchers, 0)))[0]
+    specs = [model.Spec(f"w-{number}", slots=32, cores=32, queue=64) for number in range(workers)]
+    for seed in range(1, repeats + 1):
+        run = Run(arrivals(requests, seed), specs, [told], seed, JOBS)
+        timed = Timed(run.dispatchers[0])
+        run.dispatchers = [timed]  # type: ignore[list-item]  # it has the one method that is used
+        result = run.go()
+        cost.request_us.append(timed.spent_s / requests * 1e6)
+        cost.probes.append(result.counts["probes"] / requests)
+        change_us, list_us = _list_cost(timed, workers, run.now_ns)
+        cost.change_us.append(change_us)
+        cost.list_us.append(list_us)
+        cost.told_us.append(_told_cost(told, workers, seed))
+    return cost
+
+
+def _told_cost(told: api.Settings, workers: int, seed: int) -> float:
+    """The steps of one request where all workers have just reported: the median of some requests."""
+    timed, now_ns, found = Timed(Dispatcher(told, seed)), 1000 * model.SECOND, []
+    timed.step(now_ns, [api.Membership(api.ListKind.FULL, _entries(workers))])
+    for number in range(TOLD_REQUESTS):
+        now_ns += model.SECOND // 20
+        report = api.LoadReport(32.0, 32.0, queued=0.0)
+        news: list[api.Event] = [
+            api.ProbeEnded(worker + 1, api.Outcome.OK, model.MS, report) for worker in range(workers)
+        ]
+        timed.step(now_ns, news)
+        timed.spent_s = 0.0
+        actions = timed.step(now_ns, [api.Request(number, 0, 2 * model.SECOND)])
+        for action in actions:
+            if isinstance(action, api.Send):
+                started = api.AttemptNote(number, 0, action.worker)
+                ended = api.AttemptEnded(
+                    number, 0, action.worker, api.Outcome.OK, 20 * model.MS, True, report
+                )
+                timed.step(now_ns + model.MS, [started])
+                timed.step(now_ns + 20 * model.MS, [ended])
+        found.append(timed.spent_s * 1e6)
+    return statistics.median(found)
+
+
+def _entries(workers: int) -> tuple[api.WorkerEntry, ...]:
+    return tuple(
+        api.WorkerEntry(number + 1, api.WorkerState.READY, kind=1, common=number + 1)
+        for number in range(workers)
+    )
+
+
+def _list_cost(timed: Timed, workers: int, now_ns: int) -> tuple[float, float]:
+    """A change of one worker and the whole list: the median of some steps each."""
+    entries = _entries(workers)
+    found: list[list[float]] = [[], []]
+    for number in range(9):
+        state = (api.WorkerState.DRAINING, api.WorkerState.READY)[number % 2]
+        change = api.WorkerEntry(1, state, kind=1, common=1)
+        for times, event in zip(
+            found,
+            (
+                api.Membership(api.ListKind.DELTA, (change,)),
+                api.Membership(api.ListKind.FULL, entries),
+            ),
+            strict=True,
+        ):
+            before, now_ns = timed.spent_s, now_ns + 1_000_000
+            timed.step(now_ns, [event])
+            times.append((timed.spent_s - before) * 1e6)
+    return statistics.median(found[0]), statistics.median(found[1])
+
+
+def measure_all(
+    workers: Sequence[int] = WORKERS, dispatchers: Sequence[int] = DISPATCHERS, say: Say = lambda _: None
+) -> list[Cost]:
+    """All sizes."""
+    found = []
+    for each in dispatchers:
+        for count in workers:
+            found.append(measure(count, each))
+            played, told = (statistics.median(row) for row in (found[-1].request_us, found[-1].told_us))
+            say(f"{count} workers, {each} dispatchers: {played:.0f} us, all told {told:.0f} us")
+    return found
--- /dev/null
+++ b/weldquay/lab/scale/points.py
@@ -0,0 +1,81 @@
+"""What is measured: the points of a run, its axes, and the settings that all dispatchers are given."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from weldquay.lab import load as loads
+from weldquay.lab.model import MS, SECOND
+
+# One class that may run again.  Its jobs are short, so that few of them are under way when a point ends.
+WORK_NS = 20 * MS
+GIVE_UP_NS = 2 * SECOND
+JOBS = (loads.Kind("lookup", 1.0, WORK_NS, 500 * MS, GIVE_UP_NS),)
+USERS_DISPATCHERS = 410  # the users' count, for the settings' group_size
+
+
+class Point(msgspec.Struct, frozen=True):
+    """One fleet that is built, loaded and measured.
+
+    group: how many dispatchers the settings name (they set subsets and waits); 0: as many as there are.
+    real_rate, hollow_rate: requests a second at each dispatcher; probes: whether the settings allow them.
+    windows: how often it is measured, seconds each, after a warm-up of as many seconds as one window.
+    """
+
+    axis: str
+    real: int = 1
+    hollow: int = 39
+    workers: int = 100
+    changes: float = 1.0
+    real_rate: float = 5.0
+    hollow_rate: float = 2.0
+    probes: bool = True
+    group: int = 0
+    windows: int = 3
+    seconds: float = 2.0
+    seed: int = 1
+
+    @property
+    def dispatchers(self) -> int:
+        """Real and hollow ones."""
+        return self.real + self.hollow
+
+    @property
+    def group_size(self) -> int:
+        """The dispatchers that the settings name."""
+        return self.group or self.dispatchers
+
+
+# Hollow ones are slow where there are many, so that the stand-ins stay under a core each.
+SWEEPS: tuple[Point, ...] = (
+    *(Point("dispatchers", hollow=n - 1, hollow_rate=1.0, group=410) for n in (10, 100, 200, 410)),
+    *(Point("workers", hollow=9, workers=n, group=410) for n in (10, 100, 400, 1400)),
+    *(Point("changes", workers=400, changes=n, group=410) for n in (0.0, 2.0, 10.0)),
+    *(Point("requests", real=2, hollow=8, real_rate=n, group=410) for n in (0.0, 5.0, 20.0, 40.0)),
+    Point("probes", real=2, hollow=8, real_rate=20.0, group=410, probes=False),
+)
+CHECK = Point(
+    "check",
+    real=2,
+    hollow=6,
+    workers=8,
+    changes=2.0,
+    real_rate=10.0,
+    hollow_rate=10.0,
+    windows=3,
+    seconds=4.0,
+)
+
+
+def settings(dispatchers: int, me: int, probes: bool = True) -> dict[str, Any]:
+    """The settings of one dispatcher."""
+    told = loads.settings(dispatchers, JOBS, me)
+    told["caps"]["probes"] = probes
+    return told
+
+
+def job_body() -> str:
+    """What a job asks of a stand-in worker."""
+    return f'{{"work_ns": {WORK_NS}, "slots": 1, "memory": 0.5}}'
--- a/weldquay/lab/servers.py
+++ b/weldquay/lab/servers.py
@@ -101,12 +101,16 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def pool(self, caller: int) -> Pool:
+        """The connections to a dispatcher."""
+        return self.pools[caller]
+
     async def _tell(self, caller: int, told: dict[str, Any]) -> None:
         """One call-back, until it is answered."""
         data = write_message("POST /callback HTTP/1.1", json.dumps(told).encode())
         for _ in range(MOST_TRIES):
             try:
-                if (await self.pools[caller].ask(data)).status in (200, 204):
+                if (await self.pool(caller).ask(data)).status in (200, 204):
                     return
             except (OSError, asyncio.IncompleteReadError):
                 pass
--- a/weldquay/lab/site.py
+++ b/weldquay/lab/site.py
@@ -205,7 +205,7 @@
             document = _document(
                 number, address, discovery, loads.settings(dispatchers, kinds, number, **settings)
             )
-            nodes.append(_node(Path(folder) / f"n{number}", number, address, document, arguments))
+            nodes.append(make_node(Path(folder) / f"n{number}", number, address, document, arguments))
         here = Site(nodes, workers, discovery, kinds)
         try:
             await asyncio.gather(*(node.start() for node in nodes))
@@ -230,13 +230,14 @@
     }
 
 
-def _node(
+def make_node(
     folder: Path,
     number: int,
     address: str,
     document: dict[str, Any],
     arguments: Sequence[str],
 ) -> Node:
+    """A dispatcher that has not started, with its files in a folder."""
     (folder / "tmp").mkdir(parents=True)
     (folder / "config.json").write_text(json.dumps(document))
     environ = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
