Scale run: the probe's own cost, connections by side, a bound in time for each point

Seen on a first run: a point without probes cost more a request (3.2 ms) than one with them (2.6 ms), since the decisions then look at all workers; so that difference is no cost of probes, and the axis is gone. In its place the processor time over the axis of requests is fitted by requests and by probes together. The workers' axis goes at 20 requests a second, the users' rate; open connections are told apart by side.

A point has 60 s; processes that are left are an error.

--- a/weldquay/lab/scale/budget.py
+++ b/weldquay/lab/scale/budget.py
@@ -5,9 +5,11 @@
 import statistics
 from collections.abc import Sequence
 
+import numpy as np
+
 from weldquay.lab.scale.decisions import Cost
 from weldquay.lab.scale.fleet import Played
-from weldquay.lab.scale.results import SLOPES, Result, level
+from weldquay.lab.scale.results import SLOPES, Figure, Result, level, spread
 
 DISPATCHERS, WORKERS = 410, 1400
 REQUESTS = 8100.0  # a second, all together
@@ -43,17 +45,34 @@
     return f"does not fit: {needed / allowed:.1f} times as much"
 
 
-def probe_cost(result: Result) -> float | None:
-    """Microseconds a request that probes cost a dispatcher: the same point with and without them."""
-    without = _point(result, "probes", "probes", False)
-    with_them = _point(result, "requests", "real_rate", 20.0)
-    if without is None or with_them is None:
+def request_and_probe(result: Result) -> tuple[Figure, Figure] | None:
+    """Microseconds of a dispatcher process for a request without its probes, and for a probe.
+
+    Least squares over the axis of requests, for each repeat: the more requests, the fewer probes each has.
+    """
+    points = [each for each in result.points if each.point.axis == "requests"]
+    if len(points) < 3:
+        return None
+    rows = []
+    for windows in zip(*(each.windows for each in points), strict=True):
+        found = [window.figures for window in windows]
+        known = np.array([[each["real.requests"], each["real.probes"], 1.0] for each in found])
+        spent = np.array([each["dispatcher.cpu"] * 1e6 for each in found])
+        rows.append(np.linalg.lstsq(known, spent, rcond=None)[0])
+    return spread([float(row[0]) for row in rows]), spread([float(row[1]) for row in rows])
+
+
+def growth(result: Result) -> Figure | None:
+    """Microseconds a request that a dispatcher process spends more at the users' workers than at ten."""
+    small, large = (_point(result, "workers", "workers", count) for count in (10, WORKERS))
+    if small is None or large is None:
         return None
-    both = (
-        level(each, "dispatcher.cpu").middle / max(1e-9, level(each, "real.requests").middle)
-        for each in (with_them, without)
+    return spread(
+        [
+            1e6 * (b.figures["dispatcher.cpu"] - a.figures["dispatcher.cpu"]) / b.figures["real.requests"]
+            for a, b in zip(small.windows, large.windows, strict=True)
+        ]
     )
-    return (next(both) - next(both)) * 1e6
 
 
 def lines(result: Result) -> list[Row]:
@@ -75,11 +94,24 @@
         part = CHANGES * statistics.median(cost.change_us) / 1e6
         text = f"{CHANGES:.4f} changes/s x {statistics.median(cost.change_us):,.0f} us = {part:.4%} of a core"
         rows.append(["processor time, list", text, f"{CORE:.1%}", verdict(part, CORE)])
-    if (probes := probe_cost(result)) is not None:
-        part = RATE * probes / 1e6
-        text = f"{RATE:.1f} requests/s x {probes:,.0f} us (with less without probes) = {part:.1%} of a core"
-        rows.append(["processor time, probes on sockets", text, f"{CORE:.1%}", verdict(max(0.0, part), CORE)])
-    if (large := _point(result, "workers", "workers", WORKERS)) is not None:
+    if (more := growth(result)) is not None:
+        part, low, high = (RATE * value / 1e6 for value in (more.middle, more.low, more.high))
+        text = (
+            f"{RATE:.1f} requests/s x {more.middle:,.0f} us more than at 10 workers = {part:.1%} of a core "
+            f"({low:.1%} to {high:.1%})"
+        )
+        rows.append(
+            [f"processor time, a process, for {WORKERS:,} workers", text, f"{CORE:.1%}", verdict(part, CORE)]
+        )
+    large = _point(result, "workers", "workers", WORKERS)
+    if large is not None and (found := request_and_probe(result)) is not None:
+        each, probes = found[1], level(large, "real.probes").middle
+        part, low, high = (probes * value / 1e6 for value in (each.middle, each.low, each.high))
+        text = (
+            f"{probes:.1f} probes/s x {each.middle:,.0f} us = {part:.1%} of a core ({low:.1%} to {high:.1%})"
+        )
+        rows.append(["processor time, probes", text, f"{CORE:.1%}", verdict(part, CORE)])
+    if large is not None:
         needed = level(large, "dispatcher.memory_mb").high
         text = f"{needed:.0f} MB resident with {WORKERS:,} workers, the whole process"
         rows.append(["memory", text, f"{MEMORY_MB:.0f} MB", verdict(needed, MEMORY_MB)])
@@ -96,7 +128,7 @@
 
 
 def _bytes(result: Result) -> list[Row]:
-    changes, usual = _slope(result, "list, bytes"), _point(result, "requests", "real_rate", 20.0)
+    changes, usual = _slope(result, "list, bytes"), _point(result, "workers", "workers", WORKERS)
     if changes is None or usual is None:
         return []
     listed = max(0.0, changes[1]) + CHANGES * changes[0]
@@ -154,3 +186,98 @@
             ]
         )
     return rows
+
+
+def roles(result: Result) -> list[Row]:
+    """Each role's figures as slope x count at the users' size."""
+    large, found = _point(result, "workers", "workers", WORKERS), request_and_probe(result)
+    fleet, changes = _point(result, "dispatchers", "dispatchers", DISPATCHERS), _slope(result, "list, bytes")
+    if large is None or found is None or fleet is None or changes is None:
+        return []
+
+    def at(played: Played, name: str) -> float:
+        return level(played, name).middle
+
+    probes, connections = at(large, "real.probes"), at(large, "dispatcher.descriptors")
+    attempts, callbacks = (
+        _slope(result, f"{name}s a request") or (0.0, 0.0) for name in ("attempt", "callback")
+    )
+    memory, watch = _slope(result, "memory a listed"), _slope(result, "discovery: processor")
+    assert memory is not None and watch is not None
+    spent, lines_s = found[0].middle, 0.5 + CHANGES
+    listed = large.started_lists["real"]
+    return [
+        [
+            "dispatcher",
+            "attempts",
+            f"{attempts[0]:.2f} a request x {RATE:.1f}/s",
+            f"{attempts[0] * RATE:.1f}/s",
+        ],
+        ["", "callbacks", f"{callbacks[0]:.2f} a request x {RATE:.1f}/s", f"{callbacks[0] * RATE:.1f}/s"],
+        ["", "probes", f"measured at {WORKERS:,} workers, 20 requests/s", f"{probes:.1f}/s"],
+        ["", "list", f"0.5 empty lines/s + {CHANGES:.4f} changes/s", f"{lines_s:.2f} lines/s"],
+        [
+            "",
+            "processor time, all of a request but probes",
+            f"{spent:,.0f} us ({found[0].low:,.0f} to {found[0].high:,.0f}) x {RATE:.1f}/s",
+            f"{spent * RATE / 1e6:.1%} of a core",
+        ],
+        [
+            "",
+            "processor time, probes",
+            f"{found[1].middle:,.0f} us ({found[1].low:,.0f} to {found[1].high:,.0f}) x {probes:.1f}/s",
+            f"{found[1].middle * probes / 1e6:.1%} of a core",
+        ],
+        [
+            "",
+            "memory",
+            f"{memory[1] / 1024:.1f} MB + {memory[0]:.2f} KB x {WORKERS:,} workers",
+            f"{(memory[1] + memory[0] * WORKERS) / 1024:.1f} MB",
+        ],
+        ["", "descriptors", f"measured at {WORKERS:,} workers, 20 requests/s", f"{connections:.0f}"],
+        ["discovery", "watches, descriptors", f"1 x {DISPATCHERS}", f"{DISPATCHERS}"],
+        ["", "lines", f"{lines_s:.2f}/s x {DISPATCHERS}", f"{lines_s * DISPATCHERS:.0f}/s"],
+        [
+            "",
+            "bytes of changes",
+            f"{changes[0]:.0f} B x {CHANGES:.4f}/s x {DISPATCHERS}",
+            f"{changes[0] * CHANGES * DISPATCHERS:,.0f} B/s",
+        ],
+        [
+            "",
+            "bytes, all ask anew",
+            f"{listed / WORKERS:.0f} B x {WORKERS:,} workers x {DISPATCHERS}",
+            f"{listed * DISPATCHERS / 2**20:.0f} MB",
+        ],
+        [
+            "",
+            "processor time of the stand-in, 1 change/s",
+            f"{watch[0]:.0f} us x {DISPATCHERS}",
+            f"{watch[0] * DISPATCHERS / 1e6:.1%} of a core",
+        ],
+        [
+            "a worker",
+            "attempts",
+            f"{REQUESTS:,.0f}/s / {WORKERS:,}",
+            f"{REQUESTS * attempts[0] / WORKERS:.1f}/s",
+        ],
+        ["", "callbacks sent", f"{callbacks[0]:.2f} x", f"{REQUESTS * callbacks[0] / WORKERS:.1f}/s"],
+        [
+            "",
+            "probes",
+            f"{probes:.1f}/s x {DISPATCHERS} / {WORKERS:,}",
+            f"{probes * DISPATCHERS / WORKERS:.1f}/s",
+        ],
+        [
+            "",
+            "connections from dispatchers",
+            f"{at(large, 'real.open'):.1f} a dispatcher x {DISPATCHERS} / {WORKERS:,}",
+            f"{at(large, 'real.open') * DISPATCHERS / WORKERS:.1f}",
+        ],
+        [
+            "",
+            "the same with 100 workers, 1 request/s a dispatcher",
+            f"measured at {DISPATCHERS} dispatchers",
+            f"{at(fleet, 'worker.connections'):.1f}",
+        ],
+    ]
--- a/weldquay/lab/scale/child.py
+++ b/weldquay/lab/scale/child.py
@@ -9,11 +9,12 @@
 import asyncio
 import json
 import sys
+from collections import Counter
 from typing import Any, Protocol
 
 import msgspec
 
-from weldquay.lab.scale.counts import Tally
+from weldquay.lab.scale.counts import Tally, side_of
 from weldquay.lab.scale.discovery import ChangingDiscovery
 from weldquay.lab.scale.hollow import HollowDispatcher
 from weldquay.lab.scale.points import Point
@@ -62,8 +63,9 @@
 
     def count(self) -> dict[str, Any]:
         """Counts, and the connections that are open now."""
-        held = sum(len(worker.writers) for worker in self.fleet)
-        return {**self.tally, "open": held, "unheard": sum(worker.unheard for worker in self.fleet)}
+        held = Counter(side_of(writer) for worker in self.fleet for writer in worker.writers)
+        unheard = sum(worker.unheard for worker in self.fleet)
+        return {**self.tally, "open_real": held["real"], "open_hollow": held["hollow"], "unheard": unheard}
 
     async def stop(self) -> None:
         """Close all."""
--- a/weldquay/lab/scale/fleet.py
+++ b/weldquay/lab/scale/fleet.py
@@ -24,6 +24,7 @@
 START_S, END_S = 30.0, 25.0
 MEMORY_PART = 0.5  # of the machine's memory: a run that comes to it is ended
 MAX_CORES = 4.0
+POINT_S = 60.0  # a point takes no longer, its end left out
 LISTED_S = 15.0  # by then all dispatchers have the list
 
 
@@ -157,18 +158,33 @@
         ]
 
 
-async def play(point: Point, check: Callable[[Fleet], None] = lambda _: None) -> Played:
-    """Play one point; `check` sees the fleet once all its processes have ended."""
-    async with children("workers", "discovery", "hollow", "real") as role:
-        fleet = Fleet(point, role)
+async def _measure(fleet: Fleet) -> list[Moment]:
+    """Start a fleet and look at it so often, within POINT_S."""
+    async with asyncio.timeout(POINT_S):
         await fleet.start()
-        await asyncio.sleep(point.seconds)
+        await asyncio.sleep(fleet.point.seconds)
         moments = [await fleet.look()]
-        for _ in range(point.windows):
-            await asyncio.sleep(point.seconds)
+        for _ in range(fleet.point.windows):
+            await asyncio.sleep(fleet.point.seconds)
             moments.append(await fleet.look())
             _bound(moments[-2], moments[-1])
+    return moments
+
+
+async def play(point: Point, check: Callable[[Fleet], None] = lambda _: None) -> Played:
+    """Play one point; `check` sees the fleet once all its processes have ended.
+
+    ChildFailed where a process ends early, does not answer, or is left; TooLarge where it takes too much.
+    """
+    async with children("workers", "discovery", "hollow", "real") as role:
+        fleet = Fleet(point, role)
+        try:
+            moments = await _measure(fleet)
+        except TimeoutError:
+            raise ChildFailed(f"the point took more than {POINT_S:.0f} s") from None
     check(fleet)
+    if left := fleet.left():
+        raise ChildFailed(f"processes are left: {left}")
     pairs = list(itertools.pairwise(moments))
     first = moments[0].counts["discovery"]
     lists = {
@@ -224,6 +240,7 @@
             found[f"{side}.{name}"] = rate("workers", f"{side}.{name}") / count
         for name in ("callbacks", "callbacks_bytes"):
             found[f"{side}.{name}"] = rate("workers", f"to_{side}.{name}") / count
+        found[f"{side}.open"] = after.counts["workers"].get(f"open_{side}", 0) / count
         found[f"{side}.list_lines"] = sum(rate("discovery", f"{side}.{name}") for name in LIST) / count
         found[f"{side}.list_bytes"] = sum(rate("discovery", f"{side}.{name}_bytes") for name in LIST) / count
         found[f"{side}.control_bytes"] = found[f"{side}.list_bytes"] + found[f"{side}.probes_bytes"]
@@ -248,7 +265,8 @@
     )
     found["discovery.asks"] = total["asks"]
     found["discovery.changes"] = rate("discovery", "discovery.changes")
-    found["worker.connections"] = after.counts["workers"]["open"] / point.workers
+    held = sum(after.counts["workers"][f"open_{side}"] for side in ("real", "hollow"))
+    found["worker.connections"] = held / point.workers
     for name in ("probes", "attempts"):
         whole = sum(rate("workers", f"{side}.{name}") for side in ("real", "hollow"))
         found[f"worker.{name}"] = whole / point.workers
--- a/weldquay/lab/scale/hollow.py
+++ b/weldquay/lab/scale/hollow.py
@@ -50,7 +50,7 @@
 
     def __init__(self, number: int, point: Point, discovery: str, tally: Tally) -> None:
         super().__init__()
-        self.number, self.group, self.may_probe = number, point.group_size, point.probes
+        self.number, self.group = number, point.group_size
         self.source, self.discovery, self.tally = hollow_address(number), discovery, tally
         self.draw = random.Random(number)
         self.backoff = Backoff(self.draw, self.group)
@@ -147,8 +147,6 @@
     def _look(self) -> list[asyncio.Task[None]]:
         """Probe up to four of a few workers without fresh news."""
         pool = [name for name in self.home if name in self.workers]
-        if not self.may_probe:
-            return []
         some = self.draw.sample(pool, min(len(pool), 3 * LOOK_MOST))
         asked = [name for name in some if name not in self.news][:LOOK_MOST]
         return [self.run(self._probe(name, self.workers[name])) for name in asked]
--- a/weldquay/lab/scale/page.py
+++ b/weldquay/lab/scale/page.py
@@ -47,6 +47,7 @@
         "dispatchers": levels(result, "dispatchers", "dispatchers", "dispatchers", FLEET_COLUMNS),
         "changes": levels(result, "changes", "changes", "changes a second", CHANGE_COLUMNS),
         "decisions": decisions(result),
+        "roles": _table(("role", "figure", "slope x count", "at the users' size"), budget.roles(result)),
         "budget": _table(("line", "needed at the users' size", "allowed", "verdict"), budget.lines(result)),
         "limits": _table(("what grows", "first limit met", "at"), budget.limits(result)),
     }
--- a/weldquay/lab/scale/points.py
+++ b/weldquay/lab/scale/points.py
@@ -20,7 +20,7 @@
     """One fleet that is built, loaded and measured.
 
     group: how many dispatchers the settings name (they set subsets and waits); 0: as many as there are.
-    real_rate, hollow_rate: requests a second at each dispatcher; probes: whether the settings allow them.
+    real_rate, hollow_rate: requests a second at each dispatcher.
     windows: how often it is measured, seconds each, after a warm-up of as many seconds as one window.
     """
 
@@ -31,7 +31,6 @@
     changes: float = 1.0
     real_rate: float = 5.0
     hollow_rate: float = 2.0
-    probes: bool = True
     group: int = 0
     windows: int = 3
     seconds: float = 2.0
@@ -51,10 +50,9 @@
 # Hollow ones are slow where there are many, so that the stand-ins stay under a core each.
 SWEEPS: tuple[Point, ...] = (
     *(Point("dispatchers", hollow=n - 1, hollow_rate=1.0, group=410) for n in (10, 100, 200, 410)),
-    *(Point("workers", hollow=9, workers=n, group=410) for n in (10, 100, 400, 1400)),
-    *(Point("changes", workers=400, changes=n, group=410) for n in (0.0, 2.0, 10.0)),
+    *(Point("workers", real=2, hollow=8, workers=n, real_rate=20.0, group=410) for n in (10, 100, 400, 1400)),
+    *(Point("changes", real=2, hollow=38, workers=400, changes=n, group=410) for n in (0.0, 2.0, 10.0)),
     *(Point("requests", real=2, hollow=8, real_rate=n, group=410) for n in (0.0, 5.0, 20.0, 40.0)),
-    Point("probes", real=2, hollow=8, real_rate=20.0, group=410, probes=False),
 )
 CHECK = Point(
     "check",
@@ -69,11 +67,9 @@
 )
 
 
-def settings(dispatchers: int, me: int, probes: bool = True) -> dict[str, Any]:
+def settings(dispatchers: int, me: int) -> dict[str, Any]:
     """The settings of one dispatcher."""
-    told = loads.settings(dispatchers, JOBS, me)
-    told["caps"]["probes"] = probes
-    return told
+    return loads.settings(dispatchers, JOBS, me)
 
 
 def job_body() -> str:
--- a/weldquay/lab/scale/real.py
+++ b/weldquay/lab/scale/real.py
@@ -37,7 +37,7 @@
                 "seed": f"{0x5EED + number:x}",
                 "limits": {"memory_mb": 256, "sockets": 4096},
                 "known": {"revision": 0, "complete": True, "members": []},
-                "settings": settings(point.group_size, number, point.probes),
+                "settings": settings(point.group_size, number),
             }
             self.nodes.append(make_node(folder / f"r{number}", number, address, document, ()))
         self.pools = [Pool(node.address) for node in self.nodes]
