Scale run: the users' budget, the first limits and what is left, from the result

Each line of the budget (1.6% of a core, 256 MB, 2 KB/s a dispatcher) is made of measured slopes, with its spread and by how much it fits; the first limits and what planned mechanisms may take follow from the same figures. Decisions are repeated five times: on a busy machine three repeats of one size differed by 1.7.

--- a/weldquay/lab/scale/budget.py
+++ b/weldquay/lab/scale/budget.py
@@ -18,6 +18,9 @@
     2 * (16 + 520) / 86400
 )  # of the list, a second: failures and restarts, a line for leaving and one back
 CORE, MEMORY_MB, BYTES = 0.016, 256.0, 2000.0  # of one dispatcher, for control
+TENANTS, MODELS, SESSIONS, PREFIXES, SETTINGS_CHANGES = 2000, 23, 1_300_000, 15_000, 700
+SETTINGS_S = 5.0  # by then a change of the settings is in force everywhere
+ENTRY = 16  # bytes that an entry of a planned mechanism takes at the least: an id and a figure
 CLOCK_S = 6.0  # so long after it was there a change of the list counts as told
 Row = list[str]
 
@@ -75,42 +78,72 @@
     )
 
 
+def control(result: Result, workers: int = WORKERS) -> list[tuple[str, str, Figure]]:
+    """What control takes of a core at one dispatcher: name, how it comes about, the part of a core.
+
+    The decisions are timed alone, in a loop that does nothing else; what a process spends is more (`growth`).
+    """
+    found: list[tuple[str, str, Figure]] = []
+    if (cost := _cost(result, workers)) is not None:
+        times, change_us = spread(cost.request_us), statistics.median(cost.change_us)
+        text = f"{RATE:.1f} requests/s x {times.middle:,.0f} us"
+        found.append(("decisions, played", text, times.times(RATE / 1e6)))
+        text = f"{CHANGES:.4f} changes/s x {change_us:,.0f} us"
+        found.append(("list changes", text, spread([CHANGES * change_us / 1e6])))
+    large, fitted = _point(result, "workers", "workers", WORKERS), request_and_probe(result)
+    if large is not None and fitted is not None:
+        probes = level(large, "real.probes").middle
+        text = f"{probes:.1f} probes/s x {fitted[1].middle:,.0f} us, sockets and decisions"
+        found.append(("probes", text, fitted[1].times(probes / 1e6)))
+    if (rest := _point(result, "requests", "real_rate", 0.0)) is not None:
+        text = "a process without requests, 100 workers, 1 list change/s"
+        found.append(("at rest", text, level(rest, "dispatcher.cpu")))
+    return found
+
+
+def total(parts: Sequence[tuple[str, str, Figure]]) -> Figure:
+    """The sum of some parts; the spread is that of all at their least and all at their most."""
+    figures = [part for _, _, part in parts]
+    return Figure(
+        sum(each.low for each in figures),
+        sum(each.middle for each in figures),
+        sum(each.high for each in figures),
+    )
+
+
+def share(part: Figure) -> str:
+    """A part of a core with its spread."""
+    return f"{part.middle:.2%} of a core ({part.low:.2%} to {part.high:.2%})"
+
+
 def lines(result: Result) -> list[Row]:
     """The budget's lines."""
     rows: list[Row] = []
-    if (cost := _cost(result)) is not None:
-        for name, times in (("played", cost.request_us), ("all workers have just reported", cost.told_us)):
-            middle = statistics.median(times)
-            part, low, high = (RATE * value / 1e6 for value in (middle, min(times), max(times)))
-            rows.append(
-                [
-                    f"processor time, decisions, {name}",
-                    f"{RATE:.1f} requests/s x {middle:,.0f} us = {part:.1%} of a core "
-                    f"({low:.1%} to {high:.1%})",
-                    f"{CORE:.1%}",
-                    verdict(part, CORE),
-                ]
-            )
-        part = CHANGES * statistics.median(cost.change_us) / 1e6
-        text = f"{CHANGES:.4f} changes/s x {statistics.median(cost.change_us):,.0f} us = {part:.4%} of a core"
-        rows.append(["processor time, list", text, f"{CORE:.1%}", verdict(part, CORE)])
-    if (more := growth(result)) is not None:
-        part, low, high = (RATE * value / 1e6 for value in (more.middle, more.low, more.high))
-        text = (
-            f"{RATE:.1f} requests/s x {more.middle:,.0f} us more than at 10 workers = {part:.1%} of a core "
-            f"({low:.1%} to {high:.1%})"
-        )
+    parts = control(result)
+    for name, text, part in parts:
         rows.append(
-            [f"processor time, a process, for {WORKERS:,} workers", text, f"{CORE:.1%}", verdict(part, CORE)]
+            [
+                f"processor time: {name}",
+                f"{text} = {share(part)}",
+                "",
+                f"{part.middle / CORE:.2f} of the line",
+            ]
         )
+    if len(parts) == 4:
+        all_of_it = total(parts)
+        row = ["processor time, these together", share(all_of_it), f"{CORE:.1%}"]
+        rows.append([*row, verdict(all_of_it.middle, CORE)])
+    if (more := growth(result)) is not None:
+        part = more.times(RATE / 1e6)
+        text = f"{RATE:.1f} requests/s x {more.middle:,.0f} us = {share(part)}"
+        name = f"the same in a process: what {WORKERS:,} workers cost more than 10"
+        rows.append([name, text, f"{CORE:.1%}", verdict(part.middle, CORE)])
+    if (cost := _cost(result)) is not None:
+        part = spread(cost.told_us).times(RATE / 1e6)
+        text = f"{RATE:.1f} requests/s x {statistics.median(cost.told_us):,.0f} us = {share(part)}"
+        name = "decisions, where all workers have just reported"
+        rows.append([name, text, f"{CORE:.1%}", verdict(part.middle, CORE)])
     large = _point(result, "workers", "workers", WORKERS)
-    if large is not None and (found := request_and_probe(result)) is not None:
-        each, probes = found[1], level(large, "real.probes").middle
-        part, low, high = (probes * value / 1e6 for value in (each.middle, each.low, each.high))
-        text = (
-            f"{probes:.1f} probes/s x {each.middle:,.0f} us = {part:.1%} of a core ({low:.1%} to {high:.1%})"
-        )
-        rows.append(["processor time, probes", text, f"{CORE:.1%}", verdict(part, CORE)])
     if large is not None:
         needed = level(large, "dispatcher.memory_mb").high
         text = f"{needed:.0f} MB resident with {WORKERS:,} workers, the whole process"
@@ -127,16 +160,61 @@
     return rows
 
 
-def _bytes(result: Result) -> list[Row]:
+def control_bytes(result: Result) -> tuple[float, float] | None:
+    """Bytes a second at a dispatcher, both ways: of the list and of probes."""
     changes, usual = _slope(result, "list, bytes"), _point(result, "workers", "workers", WORKERS)
     if changes is None or usual is None:
-        return []
+        return None
     listed = max(0.0, changes[1]) + CHANGES * changes[0]
-    probes = level(usual, "real.probes_bytes").middle / level(usual, "real.requests").middle * RATE
+    return listed, level(usual, "real.probes_bytes").middle / level(usual, "real.requests").middle * RATE
+
+
+def _bytes(result: Result) -> list[Row]:
+    if (found := control_bytes(result)) is None:
+        return []
+    listed, probes = found
     text = f"list {listed:.0f} B/s, probes {probes:,.0f} B/s: {listed + probes:,.0f} B/s"
     return [["bytes a second, both ways", text, f"{BYTES:,.0f} B/s", verdict(listed + probes, BYTES)]]
 
 
+def planned(result: Result) -> list[Row]:
+    """What the planned mechanisms may take at most: arithmetic on what the budget leaves."""
+    found, large = control_bytes(result), _point(result, "workers", "workers", WORKERS)
+    parts = control(result)
+    if found is None or large is None or len(parts) < 4:
+        return []
+    left, core = max(1.0, BYTES - sum(found)), CORE - total(parts).middle
+    memory = MEMORY_MB - level(large, "dispatcher.memory_mb").high
+    pairs, sessions = TENANTS * MODELS, SESSIONS / DISPATCHERS
+    room = f"{core:.2%} of a core is left" if core > 0 else f"none is left: {-core:.2%} of a core too much"
+    return [
+        ["all together", f"{left:,.0f} B/s, {memory:,.0f} MB; processor time: {room}"],
+        ["members (SWIM)", f"a fixed number of messages a period, whatever the count; {DISPATCHERS} entries"],
+        [
+            "shared counts",
+            f"{TENANTS:,} tenants x {MODELS} models = {pairs:,} pairs: told whole at {ENTRY} B each they "
+            f"take {pairs * ENTRY / left:,.0f} s of all that is left, so only what changed: "
+            f"{left / ENTRY:,.0f} a second",
+        ],
+        [
+            "versioned settings",
+            f"{SETTINGS_CHANGES / 86400:.4f} changes/s, each here within {SETTINGS_S:.0f} s: "
+            f"{left * SETTINGS_S / 1024:,.1f} KB a change at the rate that is left",
+        ],
+        [
+            "leases (sessions)",
+            f"{SESSIONS:,} / {DISPATCHERS} = {sessions:,.0f} a dispatcher; at {ENTRY} B each renewed no more "
+            f"often than every {sessions * ENTRY / left:,.0f} s; held by all they could take "
+            f"{memory * 2**20 / SESSIONS:,.0f} B each",
+        ],
+        [
+            "prefixes, bookings",
+            f"{PREFIXES:,} prefixes at {ENTRY} B: {PREFIXES * ENTRY / 1024:,.0f} KB, told anew within "
+            f"{PREFIXES * ENTRY / left:,.0f} s at the soonest",
+        ],
+    ]
+
+
 def crossing(rows: Sequence[tuple[float, float]], allowed: float) -> str:
     """Where a figure crosses what is allowed, on straight lines between the points."""
     before = (0.0, 0.0)
@@ -152,11 +230,13 @@
     """The first limits met, by what grows."""
     rows: list[Row] = []
     costs = sorted((c for c in result.decisions if c.dispatchers == DISPATCHERS), key=lambda c: c.workers)
-    for name in ("request_us", "told_us") if costs else ():
-        points = [(float(c.workers), RATE * statistics.median(getattr(c, name)) / 1e6) for c in costs]
-        word = "played" if name == "request_us" else "all workers have just reported"
-        text = f"decisions over {CORE:.1%} of a core at {RATE:.1f} requests/s, {word}"
-        rows.append(["workers in the list", text, f"{crossing(points, CORE)} workers"])
+    by_count = [(float(each.workers), control(result, each.workers)) for each in costs]
+    told = [(float(each.workers), RATE * statistics.median(each.told_us) / 1e6) for each in costs]
+    sums = [(count, total(parts).middle) for count, parts in by_count if len(parts) == 4]
+    for name, points in (("control", sums), ("decisions where all have just reported", told)):
+        if points:
+            text = f"{name}: over {CORE:.1%} of a core at {RATE:.1f} requests/s"
+            rows.append(["workers in the list", text, f"{crossing(points, CORE)} workers"])
     if cost := _slope(result, "processor time a request"):
         at = (1e6 - cost[1]) / cost[0]
         text = "a dispatcher's one core is full (100 workers, 410 in the settings)"
--- a/weldquay/lab/scale/decisions.py
+++ b/weldquay/lab/scale/decisions.py
@@ -29,7 +29,7 @@
 DISPATCHERS = (1, 410)
 REQUESTS = 200  # ten seconds
 TOLD_REQUESTS = 9
-REPEATS = 3
+REPEATS = 5
 Say = Callable[[str], None]
 
 
--- a/weldquay/lab/scale/page.py
+++ b/weldquay/lab/scale/page.py
@@ -49,6 +49,7 @@
         "decisions": decisions(result),
         "roles": _table(("role", "figure", "slope x count", "at the users' size"), budget.roles(result)),
         "budget": _table(("line", "needed at the users' size", "allowed", "verdict"), budget.lines(result)),
+        "planned": _table(("mechanism", "at most, at each dispatcher"), budget.planned(result)),
         "limits": _table(("what grows", "first limit met", "at"), budget.limits(result)),
     }
 
@@ -82,7 +83,11 @@
         ).append(name)
     for told_row, names in seen.items():
         rows.append([", ".join(names), told_row])
-    return _table(("part", "command", "commit", "machine", "its load before", "took"), rows)
+    table = _table(("part", "command", "commit", "machine", "its load before", "took"), rows)
+    if not result.points:
+        return table
+    cores, memory = (max(getattr(each, name) for each in result.points) for name in ("cores", "memory_mb"))
+    return f"{table}\nAll processes of a point took {cores:.2f} cores and {memory:,.0f} MB at the most.\n"
 
 
 def check(result: Result) -> str:
--- a/weldquay/lab/scale/plot.py
+++ b/weldquay/lab/scale/plot.py
@@ -59,6 +59,7 @@
             word = "played" if kind == "request_us" else "all told"
             place.plot([cost.workers for cost in rows], times, style, marker="o", label=f"{count}, {word}")
     place.set(xscale="log", yscale="log", xlabel="workers", ylabel="decisions, us a request")
-    place.legend(fontsize=7, title="dispatchers in settings", title_fontsize=7)
+    if result.decisions:
+        place.legend(fontsize=7, title="dispatchers in settings", title_fontsize=7)
     figure.savefig(path, metadata={"Date": None} if path.suffix == ".svg" else None)
     pyplot.close(figure)
