--- a/weldquay/lab/scale/budget.py
+++ b/weldquay/lab/scale/budget.py
@@ -90,7 +90,7 @@
         found.append(("decisions, played", text, times.times(RATE / 1e6)))
         text = f"{CHANGES:.4f} changes/s x {change_us:,.0f} us"
         found.append(("list changes", text, spread([CHANGES * change_us / 1e6])))
-    large, fitted = _point(result, "workers", "workers", WORKERS), request_and_probe(result)
+    large, fitted = _point(result, "whole", "workers", WORKERS), request_and_probe(result)
     if large is not None and fitted is not None:
         probes = level(large, "real.probes").middle
         text = f"{probes:.1f} probes/s x {fitted[1].middle:,.0f} us, sockets and decisions"
@@ -143,7 +143,7 @@
         text = f"{RATE:.1f} requests/s x {statistics.median(cost.told_us):,.0f} us = {share(part)}"
         name = "decisions, where all workers have just reported"
         rows.append([name, text, f"{CORE:.1%}", verdict(part.middle, CORE)])
-    large = _point(result, "workers", "workers", WORKERS)
+    large = _point(result, "whole", "workers", WORKERS)
     if large is not None:
         needed = level(large, "dispatcher.memory_mb").high
         text = f"{needed:.0f} MB resident with {WORKERS:,} workers, the whole process"
@@ -162,7 +162,7 @@
 
 def control_bytes(result: Result) -> tuple[float, float] | None:
     """Bytes a second at a dispatcher, both ways: of the list and of probes."""
-    changes, usual = _slope(result, "list, bytes"), _point(result, "workers", "workers", WORKERS)
+    changes, usual = _slope(result, "list, bytes"), _point(result, "whole", "workers", WORKERS)
     if changes is None or usual is None:
         return None
     listed = max(0.0, changes[1]) + CHANGES * changes[0]
@@ -179,7 +179,7 @@
 
 def planned(result: Result) -> list[Row]:
     """What the planned mechanisms may take at most: arithmetic on what the budget leaves."""
-    found, large = control_bytes(result), _point(result, "workers", "workers", WORKERS)
+    found, large = control_bytes(result), _point(result, "whole", "workers", WORKERS)
     parts = control(result)
     if found is None or large is None or len(parts) < 4:
         return []
@@ -253,7 +253,7 @@
         at = (1e6 - watch[1]) / watch[0]
         text = "one core of the discovery stand-in is full at 1 change/s (lines alone, not asks)"
         rows.append(["dispatchers", text, f"{at:,.0f} dispatchers"])
-    if large := _point(result, "workers", "workers", WORKERS):
+    if large := _point(result, "whole", "workers", WORKERS):
         whole = large.started_lists["real"]
         text = (
             f"a whole list is {whole / 1024:,.0f} KB; all {DISPATCHERS} ask within the list's {CLOCK_S:.0f} s"
@@ -270,7 +270,7 @@
 
 def roles(result: Result) -> list[Row]:
     """Each role's figures as slope x count at the users' size."""
-    large, found = _point(result, "workers", "workers", WORKERS), request_and_probe(result)
+    large, found = _point(result, "whole", "workers", WORKERS), request_and_probe(result)
     fleet, changes = _point(result, "dispatchers", "dispatchers", DISPATCHERS), _slope(result, "list, bytes")
     if large is None or found is None or fleet is None or changes is None:
         return []
@@ -294,7 +294,7 @@
             f"{attempts[0] * RATE:.1f}/s",
         ],
         ["", "callbacks", f"{callbacks[0]:.2f} a request x {RATE:.1f}/s", f"{callbacks[0] * RATE:.1f}/s"],
-        ["", "probes", f"measured at {WORKERS:,} workers, 20 requests/s", f"{probes:.1f}/s"],
+        ["", "probes", f"measured with {DISPATCHERS} dispatchers, {WORKERS:,} workers", f"{probes:.1f}/s"],
         ["", "list", f"0.5 empty lines/s + {CHANGES:.4f} changes/s", f"{lines_s:.2f} lines/s"],
         [
             "",
@@ -314,7 +314,12 @@
             f"{memory[1] / 1024:.1f} MB + {memory[0]:.2f} KB x {WORKERS:,} workers",
             f"{(memory[1] + memory[0] * WORKERS) / 1024:.1f} MB",
         ],
-        ["", "descriptors", f"measured at {WORKERS:,} workers, 20 requests/s", f"{connections:.0f}"],
+        [
+            "",
+            "descriptors",
+            f"measured with {DISPATCHERS} dispatchers, {WORKERS:,} workers",
+            f"{connections:.0f}",
+        ],
         ["discovery", "watches, descriptors", f"1 x {DISPATCHERS}", f"{DISPATCHERS}"],
         ["", "lines", f"{lines_s:.2f}/s x {DISPATCHERS}", f"{lines_s * DISPATCHERS:.0f}/s"],
         [
--- a/weldquay/lab/scale/page.py
+++ b/weldquay/lab/scale/page.py
@@ -46,6 +46,7 @@
         "requests": levels(result, "requests", "real_rate", "requests a second", REQUEST_COLUMNS),
         "dispatchers": levels(result, "dispatchers", "dispatchers", "dispatchers", FLEET_COLUMNS),
         "changes": levels(result, "changes", "changes", "changes a second", CHANGE_COLUMNS),
+        "whole": levels(result, "whole", "dispatchers", "dispatchers", (*WORKER_COLUMNS, *FLEET_COLUMNS)),
         "decisions": decisions(result),
         "roles": _table(("role", "figure", "slope x count", "at the users' size"), budget.roles(result)),
         "budget": _table(("line", "needed at the users' size", "allowed", "verdict"), budget.lines(result)),
--- a/weldquay/lab/scale/points.py
+++ b/weldquay/lab/scale/points.py
@@ -52,6 +52,7 @@
     *(Point("dispatchers", hollow=n - 1, hollow_rate=1.0, group=410) for n in (10, 100, 200, 410)),
     *(Point("workers", real=2, hollow=8, workers=n, real_rate=20.0, group=410) for n in (10, 100, 400, 1400)),
     *(Point("changes", real=2, hollow=38, workers=400, changes=n, group=410) for n in (0.0, 2.0, 10.0)),
+    Point("whole", real=2, hollow=408, workers=1400, real_rate=20.0, hollow_rate=1.0),
     *(Point("requests", real=2, hollow=8, real_rate=n, group=410) for n in (0.0, 5.0, 20.0, 40.0)),
 )
 CHECK = Point(
