--- a/weldquay/lab/scale/budget.py
+++ b/weldquay/lab/scale/budget.py
@@ -231,12 +231,16 @@
     rows: list[Row] = []
     costs = sorted((c for c in result.decisions if c.dispatchers == DISPATCHERS), key=lambda c: c.workers)
     by_count = [(float(each.workers), control(result, each.workers)) for each in costs]
-    told = [(float(each.workers), RATE * statistics.median(each.told_us) / 1e6) for each in costs]
-    sums = [(count, total(parts).middle) for count, parts in by_count if len(parts) == 4]
+    told = [(float(each.workers), spread(each.told_us).times(RATE / 1e6)) for each in costs]
+    sums = [(count, total(parts)) for count, parts in by_count if len(parts) == 4]
     for name, points in (("control", sums), ("decisions where all have just reported", told)):
         if points:
             text = f"{name}: over {CORE:.1%} of a core at {RATE:.1f} requests/s"
-            rows.append(["workers in the list", text, f"{crossing(points, CORE)} workers"])
+            least, usual, most = (
+                crossing([(count, getattr(part, name)) for count, part in points], CORE)
+                for name in ("high", "middle", "low")
+            )
+            rows.append(["workers in the list", text, f"{usual} workers (spread: {least} to {most})"])
     if cost := _slope(result, "processor time a request"):
         at = (1e6 - cost[1]) / cost[0]
         text = "a dispatcher's one core is full (100 workers, 410 in the settings)"
