Sum the rates of a draw once, and ask for home workers by a set

Cause: `rates = [rate * len(rates) / sum(rates) for rate in rates]` in `_place` summed the whole list for each element, and `row[0] in self.home` went through the list of own workers for each row. Both are quadratic in the workers where one dispatcher has all of them. Other loops were read for the same: `_look`'s `each not in some` is over 12 at the most; `_place_held` asks all workers for each held job that no like job went before, which stays.

Change: the sum and the set are made once a draw; each rate is the same float as before.

--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -110,7 +110,8 @@
             fresh = [row for row in choice if now - row[0].report_ns <= FRESH_NS]
             if not turns and len(fresh) < (1 if job.looks else LOOK_ENOUGH) and self._look(job):
                 return False
-            fresh = turns or [row for row in fresh if row[0] in self.home] or fresh
+            home = set(self.home)
+            fresh = turns or [row for row in fresh if row[0] in home] or fresh
             if choice:  # the others look at other workers: only a part of their jobs comes to these
                 m *= min(1.0, len(told) * len(fresh or choice) / (len(choice) * len(self.ready)))
             choice = fresh or choice or self._untold(job)
@@ -119,7 +120,8 @@
         if not choice:
             return False
         rates = [1 / self.running.pace(worker.entry.kind) for worker, _ in choice]
-        loads, rates = [], [rate * len(rates) / sum(rates) for rate in rates]
+        count, total, loads = len(rates), sum(rates), list[float]()
+        rates = [rate * count / total for rate in rates]  # summed once: the sum in here made it quadratic
         for (worker, load), rate in zip(choice, rates, strict=True):
             far = rules.cross_zone_price > 0 and worker.entry.zone != rules.zone
             loads.append(load + round(worker.size or self.usual_size) + FAR_LOAD * far * max(1.0, m * rate))
