Candidates before costs: workers in groups kept by events and a calendar

Cause: each request asked every worker for its state, load, age of its report, cold share and slowness (`_told`, `_untold`, `_look`, `_place`, `_place_held`'s count of cold workers), and each held job did so again.

Change: `weldquay/candidates/` keeps the ready workers in cells of those that no draw can tell apart (reported, fresh, home, kind, zone, load, size, free memory), and a few special ones that are asked one by one (cold, in doubt, slow, behind an attempt that has not started, held for a large job, put back). An event marks the worker it names; a heap has the moments at which time alone changes a worker (report goes stale or lapses, rest or suspicion ends, it is warm, a job there is overdue, computed from floors of the learnt times). `water_fill` takes counts of equals. Up to 64 candidates are cut into rows in the old order, so that the draw is the old one bit for bit; above, a group is drawn, then a member. `fleet/slow_start.py`: `rank` stops once a dispatcher's place is past any turn, instead of hashing all 410 for each cold worker and slice. `fleet/subset.py`: hashes of the order are kept between lists.

--- /dev/null
+++ b/tests/test_candidates.py
@@ -0,0 +1,136 @@
+"""The candidates kept by events are those that asking all workers would find, and draws are the same."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.script import Script
+from weldquay import interface as api
+from weldquay.candidates import group
+from weldquay.candidates.group import Group, count
+from weldquay.ledger.records import LAPSE_NS, Job, Worker
+from weldquay.policy.dispatcher import Dispatcher
+from weldquay.policy.draw import SLOW
+from weldquay.policy.water_fill import water_fill
+
+ROWS = st.lists(
+    st.tuples(st.integers(-8, 8), st.sampled_from([0.5, 1.0, 1.7]), st.integers(1, 9)), min_size=1
+)
+
+
+@settings(derandomize=True)
+@given(ROWS, st.floats(2, 400))
+def test_groups_get_the_shares_of_their_members(rows: list[tuple[int, float, int]], m: float) -> None:
+    """Theorem 4 over groups of equals gives each member what the plain formula gives it."""
+    loads, rates, counts = ([float(row[at]) for row in rows] for at in range(3))
+    grouped = water_fill(loads, m, rates, [int(each) for each in counts])
+    plain = water_fill(
+        [load for load, _, number in rows for _ in range(number)],
+        m,
+        [rate for _, rate, number in rows for _ in range(number)],
+    )
+    each = [share for share, row in zip(grouped, rows, strict=True) for _ in range(row[2])]
+    assert each == pytest.approx(plain, abs=1e-9)
+    assert sum(each) == pytest.approx(1.0)
+
+
+def told(dispatcher: Dispatcher) -> list[Worker]:
+    """By asking each worker: in health, with news that has not lapsed, and not slow unless most are."""
+    news = [
+        worker
+        for worker in dispatcher.news.values()
+        if dispatcher.now_ns - worker.report_ns <= LAPSE_NS
+        and worker.free is not None
+        and dispatcher._healthy(worker)
+    ]
+    quick = [worker for worker in news if dispatcher._drag(worker) < SLOW]
+    return quick if 2 * len(quick) >= len(news) else news
+
+
+def check(dispatcher: Dispatcher, number: int) -> None:
+    """Hold what the index answers against what asking each worker answers."""
+    index, now, rules = dispatcher.index, dispatcher.now_ns, dispatcher.settings
+    request = api.Request(0, number % 3, 5_000_000_000, float(1 + number % 2), float(number % 5))
+    job = Job(request, rules.classes[number % 3], now, 5, due_ns=now + 5_000_000_000)
+    index.begin()
+    workers, slots = told(dispatcher), request.slots
+    room = [
+        worker
+        for worker in workers
+        if dispatcher._load(worker) + slots <= 0.5
+        and dispatcher._suits(job, worker)
+        and (worker.free_memory is None or worker.free_memory - worker.changed_memory >= request.memory)
+    ]
+    assert index.usable == len(workers) and index.all_reported() == workers
+    found = index.reported(job, lambda worker: dispatcher._suits(job, worker))
+    assert count(found) == len(room)
+    asks = rules.may_probe and rules.reports_in_probes
+    for row in found:
+        assert all(worker in room and dispatcher._load(worker) == row.load for worker in row.members)
+        fresh = {now - worker.report_ns <= 300_000_000 for worker in row.members}
+        home = {worker in dispatcher.home for worker in row.members}
+        assert not asks or (fresh, home) == ({row.fresh}, {row.home})
+    others = [
+        worker
+        for worker in dispatcher.ready
+        if worker.entry.worker not in dispatcher.news
+        and dispatcher._healthy(worker)
+        and not (worker.probe_out and now < worker.next_probe_ns)
+        and dispatcher._load(worker) + slots <= -0.5
+        and dispatcher._suits(job, worker)
+    ]
+    silent = index.unreported(request, lambda worker: dispatcher._suits(job, worker), -0.5)
+    assert {w.entry.worker for row in silent for w in row.members} == {w.entry.worker for w in others}
+    cold = [worker for worker in dispatcher.ready if dispatcher._cold_room(worker) < math.inf]
+    assert index.chilled() == cold
+    assert {w.entry.worker for w in index.probing.values()} >= {
+        w.entry.worker for w in dispatcher.ready if w.probe_out
+    }
+
+
+@pytest.mark.parametrize(
+    ("workers", "dispatchers", "probes"), [(30, 1, False), (30, 1, True), (40, 12, True), (120, 60, True)]
+)
+def test_the_index_finds_whom_a_look_at_all_finds(workers: int, dispatchers: int, probes: bool) -> None:
+    """Through a calm time, no room, late reports, a lost zone, cold workers, changed lists and held jobs."""
+    script = Script(workers, dispatchers, probes, seed=5, held=10)
+
+    def around(dispatcher: Dispatcher, now: int, events: list[api.Event]) -> list[api.Action]:
+        actions = dispatcher.step(now, events)
+        check(dispatcher, script.steps)
+        return actions
+
+    script.around = around
+    for phase in ("calm", "full", "zone", "late", "cold", "list", "flap", "held"):
+        script.play(phase, 20)
+    assert script.steps > 500
+
+
+def test_a_draw_over_groups_is_a_draw_over_their_members(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Chi-squared of 20,000 draws among 90 workers against the shares of the plain formula."""
+    script = Script(90, 1, False, seed=3)
+    dispatcher = script.dispatcher
+    dispatcher.settings = replace(dispatcher.settings, cross_zone_price=0.0)
+    dispatcher.index.begin()
+    job = Job(api.Request(0, 0, 5_000_000_000), dispatcher.settings.classes[0], 0, 5)
+    found = dispatcher.index.reported(job, lambda _: True)
+    members = [Group([worker], row.load) for row in found for worker in row.members]
+    assert len(found) < len(members) // 2
+    monkeypatch.setattr(group, "MAX_ROWS", 0)
+    drawn = Counter(dispatcher._draw(group.rows(found), 60.0).entry.worker for _ in range(20_000))
+    rates = [1 / dispatcher.running.pace(row.first.entry.kind) for row in members]
+    loads = [row.load + round(row.first.size) for row in members]
+    shares = water_fill(loads, 60.0, [rate * len(rates) / sum(rates) for rate in rates])
+    wanted = {
+        row.first.entry.worker: 20_000 * share for row, share in zip(members, shares, strict=True) if share
+    }
+    assert set(drawn) <= set(wanted)
+    squares = sum((drawn[number] - each) ** 2 / each for number, each in wanted.items())
+    freedom = len(wanted) - 1
+    assert squares < freedom + 3 * math.sqrt(2 * freedom)
--- /dev/null
+++ b/weldquay/candidates/index.py
@@ -0,0 +1,322 @@
+"""Which workers may be candidates: kept by events and a calendar instead of asked of all at each draw.
+
+A worker is in one place: in a cell with those that no draw can tell apart; among the special ones, which a
+draw asks one by one (cold, slow, in doubt, behind an attempt that has not started, held for a large job, put
+back by operators); or in none, while it is unhealthy or its report tells no free slots.  An event that
+touches a worker, or a moment in the calendar, has it sorted in anew before the next draw.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from weldquay.candidates.floors import Floors
+from weldquay.candidates.group import Group, Key, free_memory, holds
+from weldquay.estimators.runtime import Running
+from weldquay.interface import Group as Kin
+from weldquay.interface import Request, Settings, WorkerEntry
+from weldquay.ledger.records import LAPSE_NS, Cell, Job, Worker
+from weldquay.planning.planner import Planner
+
+
+class Tables(Protocol):
+    """What the index reads of the decision module's tables."""
+
+    now_ns: int
+    settings: Settings
+    workers: dict[int, Worker]
+    ready: list[Worker]
+    home: list[Worker]
+    back: set[int]
+    news: dict[int, Worker]
+    planner: Planner
+    running: Running
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Figures of the decision module.
+
+    fresh_ns: age up to which a report is fresh; start_ns: an attempt that has not told its start by then
+    tells of a queue; cover_ns: added on both sides where running times are compared; slow: logarithm of how
+    many times slower than its kind leaves a worker out; doubt: errors above it make a worker unfit for some
+    jobs.
+    """
+
+    fresh_ns: int
+    start_ns: int
+    cover_ns: int
+    slow: float
+    doubt: float
+
+
+class Index:
+    """The workers of one dispatcher, by what decides over them."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        limits: Limits,
+        load: Callable[[Worker], float],
+        drag: Callable[[Worker], float],
+    ) -> None:
+        """load, drag: the decision module's judgements of a worker as of now."""
+        self.tables, self.limits, self.load, self.drag = tables, limits, load, drag
+        self.floors = Floors(tables.running)
+        self.cells: dict[Key, Cell] = {}
+        self.special: dict[int, Worker] = {}
+        self.cold: dict[int, Worker] = {}  # listed ready and not yet warm
+        self.probing: dict[int, Worker] = {}  # a probe is out
+        self.slow: set[Worker] = set()  # left out of this step's draws
+        self.least = -math.inf  # no worker that reported has a lower load in this step's draws
+        self.usable = 0  # workers in health that reported lately, without the slow ones
+        self.reports = 0  # heard so far
+        self.touched: dict[int, None] = {}
+        self.calendar: list[tuple[int, int]] = []  # heap of (when to sort a worker in anew, its number)
+        self.ready: list[Worker] = []
+        self.home: set[Worker] = set()
+        self.listed: dict[
+            int, Worker
+        ] = {}  # the same, and the lines of the list by which they were sorted in
+        self.entries: dict[int, WorkerEntry] = {}
+        self.settings = tables.settings
+
+    def touch(self, number: int) -> None:
+        """Something about a worker has changed."""
+        self.touched[number] = None
+
+    def heard(self, worker: Worker) -> None:
+        """A worker has reported."""
+        self.reports += 1
+        worker.heard = self.reports
+        self.touch(worker.entry.worker)
+
+    # --- keeping up ---
+
+    def begin(self) -> None:
+        """Start the draws of a step: the slow are left out for all of it, unless most workers are."""
+        self.sync()
+        told = [worker for worker in self.special.values() if self._reported(worker)]
+        self.slow = {worker for worker in told if self.drag(worker) >= self.limits.slow}
+        whole = len(told) + sum([len(cell.members) for key, cell in self.cells.items() if key.reported])
+        loads = [key.load for key in self.cells if key.reported] + [self.load(worker) for worker in told]
+        self.least = min(loads, default=math.inf)
+        self.usable = whole - len(self.slow)
+        if 2 * self.usable < whole:
+            self.slow, self.usable = set(), whole
+
+    def sync(self) -> None:
+        """Sort in anew whatever an event or time has changed."""
+        tables, now, news = self.tables, self.tables.now_ns, self.tables.news
+        if tables.ready is not self.ready or tables.settings is not self.settings:
+            self._relist()
+        while news and now - news[first := next(iter(news))].report_ns > LAPSE_NS:
+            del news[first]
+            self.touch(first)
+        while self.calendar and self.calendar[0][0] <= now:
+            due_ns, number = heapq.heappop(self.calendar)
+            if (worker := tables.workers.get(number)) is not None and worker.check_ns == due_ns:
+                self.touch(number)
+        if tables.planner.moved:
+            self.touched.update(dict.fromkeys(tables.planner.moved))
+            tables.planner.moved.clear()
+        if tables.running.learnt and self.floors.follow():
+            self.touched.update(dict.fromkeys(w.entry.worker for w in self.ready if w.live))
+        if self.touched:
+            for number in self.touched:
+                if (worker := tables.workers.get(number)) is not None:
+                    self._sort_in(worker)
+            self.touched.clear()
+
+    def _relist(self) -> None:
+        """Follow a new list of ready workers: what it changes is sorted in anew."""
+        tables, home, before, entries = self.tables, set(self.tables.home), self.listed, self.entries
+        self.listed = {worker.entry.worker: worker for worker in tables.ready}
+        self.entries = {number: worker.entry for number, worker in self.listed.items()}
+        if tables.settings is not self.settings:
+            entries = {}
+        for place, worker in enumerate(tables.ready):
+            worker.place = place
+        for number, entry in self.entries.items():
+            if entries.get(number) is not entry:
+                self.touch(number)
+        for worker in home ^ self.home:
+            self.touch(worker.entry.worker)
+        for number, worker in before.items():
+            if self.listed.get(number) is not worker:
+                worker.place = -1
+                self._take_out(worker)
+        self.settings, self.ready, self.home = tables.settings, tables.ready, home
+
+    def _take_out(self, worker: Worker) -> None:
+        number = worker.entry.worker
+        if (cell := worker.cell) is not None:
+            cell.remove(worker)
+            if not cell.members:
+                del self.cells[cell.key]
+        self.special.pop(number, None)
+        self.cold.pop(number, None)
+
+    def _sort_in(self, worker: Worker) -> None:
+        """Put a worker where it belongs now, and note when that may change by time alone."""
+        number, now = worker.entry.worker, self.tables.now_ns
+        self._take_out(worker)
+        if worker.probe_out:
+            self.probing[number] = worker
+        else:
+            self.probing.pop(number, None)
+        if self.listed.get(number) is not worker:
+            return
+        warm_ns = worker.started_ns + self.settings.warm_after_ns
+        due_ns: float = math.inf
+        if worker.started_ns and now < warm_ns:
+            self.cold[number], due_ns = worker, warm_ns
+        if (well_ns := self._well_ns(worker)) > now:
+            due_ns = min(due_ns, well_ns)
+        elif number not in self.tables.news or worker.free is not None:
+            key, until_ns = self._key(worker)
+            due_ns = min(due_ns, until_ns)
+            if key is None:
+                self.special[number] = worker
+            else:
+                if (cell := self.cells.get(key)) is None:
+                    cell = self.cells[key] = Cell(key)
+                cell.add(worker)
+        # An earlier moment that is noted already will look at it again, and note the next.
+        if due_ns < math.inf and not now < worker.check_ns <= due_ns:
+            worker.check_ns = int(due_ns)
+            heapq.heappush(self.calendar, (worker.check_ns, number))
+
+    def _well_ns(self, worker: Worker) -> float:
+        """When a worker counts as healthy again, as far as time alone brings that; 0: it does."""
+        if self.tables.now_ns < worker.rest_ns:
+            return worker.rest_ns
+        if worker.suspect and self.settings.may_probe:
+            return math.inf
+        return worker.trial_ns if worker.suspect else 0
+
+    def _key(self, worker: Worker) -> tuple[Key | None, float]:
+        """The key of a healthy worker, None where it is special; and until when that holds."""
+        now, number, entry = self.tables.now_ns, worker.entry.worker, worker.entry
+        reported, lapses_ns = number in self.tables.news, worker.report_ns + LAPSE_NS + 1
+        if (
+            number in self.cold
+            or worker.errors > self.limits.doubt
+            or number in self.tables.back
+            or number in self.tables.planner.by_worker
+            or (worker.size < 0.5 and (reported or worker.size > 0))
+        ):
+            return None, math.inf
+        if reported and now >= lapses_ns:
+            return None, math.inf
+        if not reported and worker.free is not None and now < lapses_ns:
+            return None, lapses_ns
+        if not reported and worker.probe_out and now < worker.next_probe_ns:
+            return None, worker.next_probe_ns
+        if (until_ns := self._quick_ns(worker)) <= now:
+            return None, math.inf
+        asks, size = self.settings.may_probe and self.settings.reports_in_probes, round(worker.size)
+        if not reported:
+            key = Key(False, False, False, entry.kind, entry.zone, 0.0, size or -1, worker.own, None)
+            return key, until_ns
+        stale_ns = worker.report_ns + self.limits.fresh_ns + 1
+        if fresh := asks and now < stale_ns:
+            until_ns = min(until_ns, stale_ns)
+        key = Key(
+            True,
+            fresh,
+            asks and worker in self.home,
+            entry.kind,
+            entry.zone,
+            self.load(worker),
+            size,
+            0.0,
+            free_memory(worker),
+        )
+        return key, min(until_ns, lapses_ns)
+
+    def _quick_ns(self, worker: Worker) -> float:
+        """Until when the worker surely is not slow, and no attempt there is late in telling its start."""
+        until_ns, limits = math.inf, self.limits
+        if worker.drag[0] >= limits.slow and self.drag(worker) >= limits.slow:
+            return 0
+        for attempt in worker.live.values():
+            if attempt.started_ns:
+                usual_ns = self.floors.usual_ns(attempt) + limits.cover_ns
+                due_ns = attempt.started_ns + math.exp(limits.slow) * usual_ns - limits.cover_ns - 2
+                until_ns = min(until_ns, due_ns)
+            elif self.settings.tells_start:
+                until_ns = min(until_ns, attempt.sent_ns + limits.start_ns + 1)
+        return until_ns
+
+    # --- asking ---
+
+    def _reported(self, worker: Worker) -> bool:
+        return worker.entry.worker in self.tables.news
+
+    def all_reported(self) -> list[Worker]:
+        """The workers in health that reported lately, in that order, without the slow ones."""
+        found = [worker for key, cell in self.cells.items() if key.reported for worker in cell.members]
+        found += [w for w in self.special.values() if self._reported(w) and w not in self.slow]
+        return sorted(found, key=lambda worker: worker.heard)
+
+    def chilled(self) -> list[Worker]:
+        """The workers that are not yet warm, in the order of the list."""
+        return sorted(self.cold.values(), key=lambda worker: worker.place)
+
+    def reported(self, job: Job, suits: Callable[[Worker], bool]) -> list[Group]:
+        """The workers that reported lately and may take the job; suits: whether it is of use there at all."""
+        self.sync()
+        each, need = job.risky is not None and job.rules.group is Kin.CELL, job.request
+        slots, memory, fits, found = need.slots, need.memory, dict[tuple[int, int], bool](), list[Group]()
+        if self.least + slots > 0.5:  # draws only add to loads
+            return found
+        for key, cell in self.cells.items():
+            if not key.reported or key.load + slots > 0.5:
+                continue
+            members = cell.members
+            if each:  # its key does not tell a worker's cell
+                members = [worker for worker in members if suits(worker)]
+            elif not self._fits(fits, key, cell, suits):
+                continue
+            if key.memory is not None and memory > key.memory:
+                members = [worker for worker in members if holds(worker, memory)]
+            if members:
+                found.append(Group(members, key.load, True, key.fresh, key.home))
+        now, fresh_ns = self.tables.now_ns, self.limits.fresh_ns
+        for worker in self.special.values():
+            if not self._reported(worker) or worker in self.slow or (load := self.load(worker)) + slots > 0.5:
+                continue
+            if suits(worker) and holds(worker, memory):
+                fresh = now - worker.report_ns <= fresh_ns
+                found.append(Group([worker], load, True, fresh, worker in self.home, True))
+        return found
+
+    def unreported(self, need: Request, suits: Callable[[Worker], bool], limit: float) -> list[Group]:
+        """The workers without news that may have room: their load with the job is at most the limit."""
+        fits, found = dict[tuple[int, int], bool](), list[Group]()
+        for key, cell in self.cells.items():
+            if key.reported or (load := self.load(cell.members[0])) + need.slots > limit:
+                continue
+            if self._fits(fits, key, cell, suits):
+                found.append(Group(cell.members, load, False))
+        now = self.tables.now_ns
+        for worker in self.special.values():
+            if self._reported(worker) or (worker.probe_out and now < worker.next_probe_ns):
+                continue
+            if (load := self.load(worker)) + need.slots <= limit and suits(worker):
+                found.append(Group([worker], load, False, alone=True))
+        return found
+
+    @staticmethod
+    def _fits(
+        fits: dict[tuple[int, int], bool], key: Key, cell: Cell, suits: Callable[[Worker], bool]
+    ) -> bool:
+        """What a job asks of a worker in a cell is of its kind and zone alone: it is asked once for each."""
+        if (fit := fits.get((key.kind, key.zone))) is None:
+            fit = fits[key.kind, key.zone] = suits(cell.members[0])
+        return fit
--- a/weldquay/estimators/runtime.py
+++ b/weldquay/estimators/runtime.py
@@ -20,6 +20,7 @@
         self.slowness: dict[int, tuple[float, int]] = {}  # by machine kind: its part of that, samples
         self.service: dict[int, tuple[float, int]] = {}  # by kind: mean logarithm of told times, samples
         self.offered: list[bool] = []
+        self.learnt: set[tuple[int, int]] = set()  # (class, kind) that changed; cleared by candidates
         self.know(first_ns)
 
     def know(self, first_ns: Iterable[int], offered: Iterable[bool] = ()) -> None:
@@ -38,6 +39,7 @@
         mean, (slow, samples) = self.logs[number], self.slowness.get(kind, (0.0, 0))
         error = math.log(run_ns) - slow - (math.log(run_ns) if mean is None else mean)
         self.logs[number] = math.log(run_ns) - slow if mean is None else mean + LEARN * error
+        self.learnt.add((number, kind))
         self.slowness[kind] = slow + error * max(LEARN / 2, 1 / (samples + KIND_SAMPLES)), samples + 1
 
     def told(self, kind: int, service_ms: float, drag: float) -> float:
--- a/weldquay/fleet/slow_start.py
+++ b/weldquay/fleet/slow_start.py
@@ -20,6 +20,7 @@
 from collections import deque
 from dataclasses import dataclass
 from functools import lru_cache
+from itertools import islice
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
 MIN_SHARE_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
@@ -126,16 +127,21 @@
     over = max(1.0, min(MAX_OVERCOMMIT, 1 / max(spare, 1 / MAX_OVERCOMMIT)))
     # A part of a turn is one by chance: the same at each look of this slice.
     chance = mix(mix(worker ^ _CHANCE) ^ mix(number << 32 | cold.me)) / (_MASK + 1)
-    mine = rank(worker, number, cold.me, cold.dispatchers) + chance < turns * over
+    most = math.ceil(turns * MAX_OVERCOMMIT)
+    mine = rank(worker, number, cold.me, cold.dispatchers, most) + chance < turns * over
     return each_ns if mine else 0.0, begin_ns
 
 
 @lru_cache(maxsize=4096)  # asked again at each step of a slice, for each cold worker
-def rank(worker: int, number: int, me: int, dispatchers: int) -> int:
-    """The place of a dispatcher in a slice's order, from 0; the same at all of them."""
+def rank(worker: int, number: int, me: int, dispatchers: int, most: int | None = None) -> int:
+    """The place of a dispatcher in a slice's order, from 0; the same at all of them.
+
+    most: what is at least that is told as it; a few hashes show it, where all would be asked else.
+    """
     salt = mix(worker * 0x9E3779B97F4A7C15 + number)
     own = (mix(salt ^ me), me)
-    return sum((mix(salt ^ other), other) < own for other in range(dispatchers))
+    before = (other for other in range(dispatchers) if (mix(salt ^ other), other) < own)
+    return sum(1 for _ in islice(before, most))
 
 
 def mix(value: int) -> int:
--- a/weldquay/fleet/subset.py
+++ b/weldquay/fleet/subset.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import lru_cache
 
 from weldquay.fleet.slow_start import mix
 
@@ -17,6 +18,12 @@
 _ROUND = 0xD1B54A32D192ED03  # odd, so that rounds differ in all bits once mixed
 
 
+@lru_cache(maxsize=16384)  # asked again for each worker at each change of the list
+def _height(worker: int, number: int) -> int:
+    """Where a worker stands in the order of a round."""
+    return mix(worker ^ (number + 1) * _ROUND)
+
+
 def subset(workers: Sequence[int], me: int, dispatchers: int) -> list[int]:
     """The places in `workers` of those that dispatcher `me` turns to first.
 
@@ -28,6 +35,6 @@
         return list(range(count))
     groups = count // size
     number, place = divmod(me, groups)
-    order = sorted(range(count), key=lambda at: (mix(workers[at] ^ (number + 1) * _ROUND), workers[at]))
+    order = sorted(range(count), key=lambda at: (_height(workers[at], number), workers[at]))
     begin, end = place * count // groups, (place + 1) * count // groups
     return order[begin:end]
--- a/weldquay/ledger/records.py
+++ b/weldquay/ledger/records.py
@@ -14,7 +14,20 @@
 SECOND_NS = 1_000_000_000
 LAPSE_NS = 2 * SECOND_NS  # a report older than this no longer speaks for the worker
 TRIAL_NS = SECOND_NS  # a suspect worker is tried again after this, doubling
-OWN = {"entry", "live", "report", "own", "drag", "probe_out", "used_ns"}  # not told to a later process
+OWN = {  # not told to a later process
+    "entry",
+    "live",
+    "report",
+    "own",
+    "drag",
+    "probe_out",
+    "used_ns",
+    "heard",
+    "place",
+    "cell",
+    "spot",
+    "check_ns",
+}
 
 
 @dataclass(slots=True, eq=False)
@@ -52,6 +65,26 @@
     started_ns: int = 0  # when it told its start; 0: not told
 
 
+@dataclass(slots=True, eq=False)
+class Cell:
+    """Workers with one key.  Each knows its place, so that it leaves without a search."""
+
+    key: Any
+    members: list[Worker] = field(default_factory=list)
+
+    def add(self, worker: Worker) -> None:
+        """Put a worker at the end."""
+        worker.cell, worker.spot = self, len(self.members)
+        self.members.append(worker)
+
+    def remove(self, worker: Worker) -> None:
+        """Take a worker out; the last one takes its place."""
+        last = self.members.pop()
+        if last is not worker:
+            self.members[worker.spot], last.spot = last, worker.spot
+        worker.cell = None
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """What this dispatcher knows of one worker."""
@@ -83,12 +116,27 @@
     pushed: deque[tuple[int, float]] = field(default_factory=deque)  # (age, work) while cold
     cold_room: float = 0.0  # work that may still go there while it is cold, as of cold_ns
     cold_ns: int = -1
+    heard: int = 0  # the number of its last report, by the order in which they came
+    place: int = -1  # in the list of ready workers
+    cell: Cell | None = None  # kept by weldquay/candidates, with its place there
+    spot: int = 0
+    check_ns: int = -1  # the next moment noted there at which time alone may change its cell
 
     @property
     def started_ns(self) -> int:
         """When it became cold for the last time, as far as is known; 0: long ago."""
         return max(self.entry.started_ns, self.back_ns)
 
+    def waits(self, before_ns: int) -> bool:
+        """True where an attempt that was sent before then has not told its start."""
+        return any([not each.started_ns and each.sent_ns < before_ns for each in self.live.values()])
+
+    def may_be_asked(self, now_ns: int, fresh_ns: int) -> bool:
+        """True where a probe would tell something new, and the worker is not resting."""
+        return now_ns - self.report_ns > fresh_ns and now_ns >= max(
+            self.next_probe_ns, self.rest_ns, self.suspect * self.trial_ns
+        )
+
     def renew(self, now_ns: int) -> None:
         """A new process: what was known and what it held is void."""
         self.free, self.report, self.errors, self.rest_ns, self.next_probe_ns = None, None, 0, 0, 0
--- a/weldquay/planning/planner.py
+++ b/weldquay/planning/planner.py
@@ -90,6 +90,7 @@
         self.by_job: dict[int, Hold] = {}
         self.by_worker: dict[int, Hold] = {}
         self.fates: list[Fate] = []
+        self.moved: set[int] = set()  # whose hold began or ended; cleared by candidates
         self.counts: Counter[str] = Counter()
         self.going = 0.0  # mean worth of a slot's time in jobs that were sent
         self.bias = 0.0  # mean logarithm of real running time by the hint
@@ -220,6 +221,7 @@
         )
         self.by_job[hold.request] = self.by_worker[hold.worker] = hold
         self.counts["made"] += 1
+        self.moved.add(hold.worker)
 
     def admits(
         self,
@@ -262,6 +264,7 @@
         if hold is not None:
             del self.by_job[hold.request], self.by_worker[hold.worker]
             self.counts[f"ended_{why}"] += 1
+            self.moved.add(hold.worker)
             self.fates.append(
                 Fate(hold.request, hold.worker, why, now_ns - hold.made_ns, int(now_ns - hold.first_ns))
             )
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -8,9 +8,11 @@
 from dataclasses import astuple
 from typing import Any
 
+from weldquay.candidates.index import Index
 from weldquay.interface import (
     Action, Adopted, AttemptEnded, AttemptNote, Banned, ClientGone, Ending, Event, HoldEnded, Membership,
     ProbeEnded, Recalled, Request, Retuned, SetTimer, Settings, StreamBegun, Watch)
+from weldquay.policy.draw import LIMITS
 from weldquay.policy.health import LOOK_WAIT_NS
 from weldquay.policy.jobs import Jobs
 
@@ -25,6 +27,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
+        self.index = Index(self, LIMITS, self._load, self._drag)
         self.takes: dict[type, Callable[[Any], object]] = {
             Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
             ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune, Banned: self._ban,
@@ -36,6 +39,7 @@
         first, self.now_ns, self.out = not self.begun_ns, now_ns, []
         self.begun_ns = self.begun_ns or now_ns
         for event in events:
+            self.index.touch(getattr(event, "worker", 0))
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
         if first and self.settings.asks_list:
@@ -80,8 +84,9 @@
 
     def _place_held(self) -> None:
         """Place held jobs, dearest first, as far as there is room; give up those that can only be late."""
-        told, now, holds = self._told(), self.now_ns, self.planner.by_job
-        self.cold = sum(each.started_ns > now - self.settings.warm_after_ns for each in self.ready)
+        now, holds = self.now_ns, self.planner.by_job
+        self.index.begin()
+        self.cold = len(self.index.cold if now >= self.settings.warm_after_ns else self.ready)
         blocked: dict[tuple[int, float], float] = {}  # least memory of a like job that found no worker
         for job in sorted(self.held.values(), key=self._dearness, reverse=True):
             need, like = job.request, (job.request.job_class, job.request.slots)
@@ -92,9 +97,9 @@
             if now < job.wait_ns:
                 continue
             skip = job.risky is None and need.memory >= blocked.get(like, math.inf)
-            if not skip and self._place(job, told):
+            if not skip and self._place(job):
                 del self.held[need.request]
-            elif (worker := self._seek(job, told)) is not None:
+            elif (worker := self._seek(job)) is not None:
                 self._push(job, worker)
                 del self.held[need.request]
             elif not skip and job.risky is None and now - job.looked_ns >= LOOK_WAIT_NS:
--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -5,14 +5,20 @@
 import heapq
 import math
 from functools import partial
+from itertools import islice
+from operator import mul
 
+from weldquay.candidates.group import Group as Candidates, count, rows
+from weldquay.candidates.index import Limits
+from weldquay.candidates.outlook import outlook
 from weldquay.interface import CloseIdle, Effect, Group, Probe, Send, SetTimer
-from weldquay.ledger.records import LAPSE_NS, Attempt, Job, Worker
+from weldquay.ledger.records import Attempt, Job, Worker
 from weldquay.planning.planner import Offer, Want
-from weldquay.planning.timetable import Own, Timetable, seen
+from weldquay.planning.timetable import Timetable
 from weldquay.policy.health import DOUBT, FRESH_NS, LOOK_WAIT_NS, PROBE_REST_NS
 from weldquay.policy.members import Members
 from weldquay.policy.state import FIRST_SLOTS, RATE_TIME_NS
+from weldquay.policy.times import COVER_NS
 from weldquay.policy.water_fill import water_fill
 
 START_NS = 50_000_000  # a job that has not told its start by then waits: its way takes a few ms
@@ -21,6 +27,7 @@
 SLOW = math.log(2.5)  # a worker is left out where its jobs take so many times what its kind needs for them
 FAR_LOAD = 2.0  # jobs that a near worker may hold more than a far one where crossing has a price
 SEEK_NS, SEEK_AMONG = 10_000_000, 16  # how often room is sought for a job, and among how many workers
+LIMITS = Limits(FRESH_NS, START_NS, COVER_NS, SLOW, DOUBT)
 
 
 class Draw(Members):
@@ -36,8 +43,7 @@
                 or (rules.group is Group.ZONE and entry.zone != risky.worker.entry.zone)):
             return False
         # Guards against jobs that wait one behind another: what has not started there tells of a queue.
-        if self.settings.tells_start and any(not each.started_ns and each.sent_ns < self.now_ns - START_NS
-                                             for each in worker.live.values()):
+        if self.settings.tells_start and worker.waits(self.now_ns - START_NS):
             return False
         # Guards against long jobs that an old machine would still run when the client gives up.
         if need.hint_ns and self._takes_ns(job, worker) > min(job.due_ns, self.end_ns) - self.now_ns:
@@ -47,23 +53,12 @@
                 self.now_ns, need.request, need.slots, need.memory, self._takes_ns(job, worker), entry.worker,
                 partial(self._table, worker)))
 
-    def _told(self) -> list[Worker]:
-        """The workers in health whose news has not lapsed: few at a dispatcher with little traffic."""
-        while self.news and self.now_ns - self.news[first := next(iter(self.news))].report_ns > LAPSE_NS:
-            del self.news[first]
-        told = [worker for worker in self.news.values() if worker.free is not None and self._healthy(worker)]
-        quick = [worker for worker in told if self._drag(worker) < SLOW]
-        return quick if 2 * len(quick) >= len(told) else told  # where all are slow, none is left out
-
-    def _untold(self, job: Job) -> list[tuple[Worker, float]]:
+    def _untold(self, job: Job) -> list[Candidates]:
         """The workers without news that may have room, going by the mean of their zone."""
         likely = -0.5 if self.settings.may_probe else 0.5  # where looks can tell, the mean must leave more
         if min(self.usual_load.values(), default=-FIRST_SLOTS) + job.request.slots > likely:
             return []
-        rows = [(worker, self._load(worker)) for worker in self.ready
-                if worker.entry.worker not in self.news and self._healthy(worker)
-                and not (worker.probe_out and self.now_ns < worker.next_probe_ns)]
-        return [row for row in rows if row[1] + job.request.slots <= likely and self._suits(job, row[0])]
+        return self.index.unreported(job.request, partial(self._suits, job), likely)
 
     def _look(self, job: Job) -> bool:
         """Probe a few workers without fresh news, those of its own subset first; True: the job waits."""
@@ -78,56 +73,57 @@
         if job.rules.kind != -1 or job.risky is not None:
             pool = [worker for worker in self.ready if self._suits(job, worker)]
         some = self.random.sample(pool, min(len(pool), 3 * count))
-        some = [each for each in self.ready if self._cold_room(each) < math.inf and each not in some] + some
-        asked = [worker for worker in some
-                 if now - worker.report_ns > FRESH_NS
-                 and now >= max(worker.next_probe_ns, worker.rest_ns, worker.suspect * worker.trial_ns)
-                 and self._suits(job, worker)][:count]
+        some = [each for each in self.index.chilled() if each not in some] + some
+        fit = (each for each in some if each.may_be_asked(now, FRESH_NS) and self._suits(job, each))
+        asked = list(islice(fit, count))
         for worker in asked:
             worker.probe_out, worker.next_probe_ns = True, now + PROBE_REST_NS
+            self.index.touch(worker.entry.worker)
             self.out.append(Probe(worker.entry.worker))
         self.probes_left -= len(asked)
         if not asked and not job.looks:  # join the look of another job
-            asked = [worker for worker in self.news.values() if worker.probe_out] or [
-                worker for worker in self.ready if worker.probe_out]
+            out = self.index.probing
+            asked = [out[number] for number in out if number in self.news] or [
+                out[number] for number in out if out[number].place >= 0]
         if asked:
             job.looked_ns, job.looks, job.looking = now, job.looks + 1, asked
             self.out.append(SetTimer(LOOK_WAIT_NS, 4))
         return bool(asked)
 
-    def _place(self, job: Job, told: list[Worker]) -> bool:
+    def _place(self, job: Job) -> bool:
         """Draw a worker for the job by the water-fill and push; False where none may take it or it waits."""
-        rules, now, slots = self.settings, self.now_ns, job.request.slots
-        choice = [(worker, load) for worker in told
-                  if (load := self._load(worker)) + slots <= 0.5 and self._suits(job, worker)
-                  and (worker.free_memory is None
-                       or worker.free_memory - worker.changed_memory >= job.request.memory)]
+        rules, index = self.settings, self.index
+        choice = index.reported(job, partial(self._suits, job))
         m = rules.dispatchers * self._rate() * self.interval.ns
-        turns = [row for row in choice if self._cold_room(row[0]) < math.inf]
-        if back := [row for row in choice if row[0].entry.worker in self.back]:
+        turns = [row for row in choice if row.alone and row.first.entry.worker in index.cold]
+        if back := [row for row in choice if row.alone and row.first.entry.worker in self.back]:
             choice = back  # guards against a worker that stays unused, as others are nearer or faster
         elif rules.may_probe and rules.reports_in_probes:
-            fresh = [row for row in choice if now - row[0].report_ns <= FRESH_NS]
-            if not turns and len(fresh) < (1 if job.looks else LOOK_ENOUGH) and self._look(job):
+            fresh = [row for row in choice if row.fresh]
+            if not turns and count(fresh) < (1 if job.looks else LOOK_ENOUGH) and self._look(job):
                 return False
-            home = set(self.home)
-            fresh = turns or [row for row in fresh if row[0] in home] or fresh
+            fresh = turns or [row for row in fresh if row.home] or fresh
             if choice:  # the others look at other workers: only a part of their jobs comes to these
-                m *= min(1.0, len(told) * len(fresh or choice) / (len(choice) * len(self.ready)))
+                m *= min(1.0, index.usable * count(fresh or choice) / (count(choice) * len(self.ready)))
             choice = fresh or choice or self._untold(job)
         else:
             choice += self._untold(job)
-        if not choice:
-            return False
-        rates = [1 / self.running.pace(worker.entry.kind) for worker, _ in choice]
-        count, total, loads = len(rates), sum(rates), list[float]()
-        rates = [rate * count / total for rate in rates]  # summed once: the sum in here made it quadratic
-        for (worker, load), rate in zip(choice, rates, strict=True):
-            far = rules.cross_zone_price > 0 and worker.entry.zone != rules.zone
-            loads.append(load + round(worker.size or self.usual_size) + FAR_LOAD * far * max(1.0, m * rate))
-        shares = water_fill(loads, m, rates)
-        self._push(job, self.random.choices([row[0] for row in choice], weights=shares)[0])
-        return True
+        if choice:
+            self._push(job, self._draw(rows(choice), m))
+        return bool(choice)
+
+    def _draw(self, choice: list[Candidates], m: float) -> Worker:
+        """One of the candidates by the water-fill; m: jobs that come to them within a report interval."""
+        rules, counts = self.settings, [len(row.members) for row in choice]
+        rates = [1 / self.running.pace(row.first.entry.kind) for row in choice]
+        total, loads = sum(map(mul, rates, counts)), list[float]()
+        rates = [rate * sum(counts) / total for rate in rates]
+        for row, rate in zip(choice, rates, strict=True):
+            far, size = rules.cross_zone_price > 0 and row.first.entry.zone != rules.zone, row.first.size
+            loads.append(row.load + round(size or self.usual_size) + FAR_LOAD * far * max(1.0, m * rate))
+        weights = list(map(mul, water_fill(loads, m, rates, counts), counts))
+        members = self.random.choices(choice, weights)[0].members
+        return members[0] if len(members) == 1 else self.random.choice(members)
 
     def _push(self, job: Job, worker: Worker) -> None:
         """Send a job to a worker."""
@@ -138,6 +134,7 @@
             idle_ns = 0
         self._book(Attempt(job, job.attempts, worker, now, idle_ns))
         self.back.discard(worker.entry.worker)
+        self.index.touch(worker.entry.worker)
         worker.note_change(now, need.slots, need.memory)
         self.planner.drop(now, need.request, "placed")
         self.planner.sent(self._worth(job), need.slots * self._expected_ns(job))
@@ -148,12 +145,12 @@
         by_ns = math.inf if job.risky is None else self._repeat_by_ns(job, job.risky)
         self.out.append(Send(need.request, worker.entry.worker, 0, 0 if by_ns == math.inf else int(by_ns)))
 
-    def _seek(self, job: Job, told: list[Worker]) -> Worker | None:
+    def _seek(self, job: Job) -> Worker | None:
         """Have room held for a job that found none; the worker whose queue it is to join, if there is one."""
         rules, need, run_ns, now = job.rules, job.request, self._expected_ns(job), self.now_ns
         if not self.planner.plans_for(need.slots) or now < job.sought_ns + SEEK_NS:
             return None
-        job.sought_ns = now
+        job.sought_ns, told = now, self.index.all_reported()
         free = sum(max(0.0, -self._load(worker)) for worker in told)
         busy = 1 - free / max(1.0, free, sum(worker.size for worker in told))
         end_ns = min(job.born_ns + rules.aim_ns + rules.stretch * run_ns, job.due_ns, self.end_ns)
@@ -166,14 +163,10 @@
 
     def _table(self, worker: Worker) -> Timetable:
         """A worker's room over time."""
-        size, own = round(worker.size if worker.size >= 0.5 else self.usual_size), []
-        for attempt in worker.live.values():
-            begun_ns = attempt.started_ns or (0 if self.settings.tells_start else attempt.sent_ns)
-            own.append(Own(self._takes_ns(attempt.job, worker), self.now_ns - begun_ns if begun_ns else -1,
-                           attempt.job.request.slots, attempt.job.request.memory))
-        used = size - (size if worker.free is None else worker.free) + worker.changed
-        memory = size - (size if worker.free_memory is None else worker.free_memory) + worker.changed_memory
-        return seen(size, own, used, memory, self.running.pace(worker.entry.kind) * self.running.mean())
+        size = round(worker.size if worker.size >= 0.5 else self.usual_size)
+        mean_ns = self.running.pace(worker.entry.kind) * self.running.mean()
+        return outlook(worker, size, self.now_ns, self.settings.tells_start, mean_ns,
+                       lambda job: self._takes_ns(job, worker))
 
     def _book(self, attempt: Attempt) -> None:
         job, key = attempt.job, (attempt.job.request.request, attempt.number)
--- a/weldquay/policy/health.py
+++ b/weldquay/policy/health.py
@@ -4,6 +4,7 @@
 
 import math
 
+from weldquay.candidates.index import Index
 from weldquay.interface import Cancel, Effect, LoadReport, Outcome, ProbeEnded, WorkerState
 from weldquay.ledger.records import LAPSE_NS, SECOND_NS, TRIAL_NS, Attempt, Job, Worker
 from weldquay.policy.cold import ColdStarts
@@ -24,6 +25,8 @@
 class Health(ColdStarts):
     """What is known of each worker, and whether it is to be trusted with jobs."""
 
+    index: Index
+
     def _load(self, worker: Worker) -> float:
         """Own pushes since the report minus its free slots; never fewer than the own attempts still out.
 
@@ -69,6 +72,7 @@
                 worker.drag = drag, self.now_ns
         self.news.pop(worker.entry.worker, None)
         self.news[worker.entry.worker] = worker
+        self.index.heard(worker)
         if worker.free is not None:
             self._feel(worker, -worker.free)
             self.usual_size = max(1.0, self.usual_size + ZONE_LEARN * (worker.size - self.usual_size))
@@ -121,6 +125,7 @@
     def _suspect(self, worker: Worker) -> None:
         """The one judgement of health: no new jobs until a sign of life or a trial; rescue what may be."""
         if not worker.suspect or self.now_ns >= worker.trial_ns:
+            self.index.touch(worker.entry.worker)
             worker.suspect, worker.trial_ns = True, self.now_ns + worker.backoff_ns
             worker.backoff_ns = min(TRIAL_MAX_NS, worker.backoff_ns * 2)
             self._rescue(worker)
