--- a/weldquay/candidates/group.py
+++ b/weldquay/candidates/group.py
@@ -10,6 +10,7 @@
 from weldquay.ledger.records import Worker
 
 MAX_ROWS = 64  # candidates up to which each is a row of its own, in the order of their reports
+_LAST = 1 << 62  # no report has such a number
 MAX_MEMORY = 16  # units of free memory from which on workers are alike
 
 
@@ -79,5 +80,10 @@
         for worker in group.members
     ]
     if len(single) > 1:
-        single.sort(key=lambda row: (0, row.first.heard) if row.reported else (1, row.first.place))
+        single.sort(key=_order)
     return single
+
+
+def _order(row: Group) -> int:
+    worker = row.members[0]
+    return worker.heard if row.reported else _LAST + worker.place
--- a/weldquay/candidates/index.py
+++ b/weldquay/candidates/index.py
@@ -3,7 +3,8 @@
 A worker is in one place: in a cell with those that no draw can tell apart; among the special ones, which a
 draw asks one by one (cold, slow, in doubt, behind an attempt that has not started, held for a large job, put
 back by operators); or in none, while it is unhealthy or its report tells no free slots.  An event that
-touches a worker, or a moment in the calendar, has it sorted in anew before the next draw.
+touches a worker, or a moment in the calendar, has it sorted in anew before the next draw.  In a fleet of few
+workers all of them are special: asking them costs less than keeping groups.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 
     now_ns: int
     settings: Settings
+    held: dict[int, Job]
     workers: dict[int, Worker]
     ready: list[Worker]
     home: list[Worker]
@@ -37,6 +39,9 @@
     running: Running
 
 
+FEW = 32  # workers up to which all are asked one by one
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Figures of the decision module.
@@ -67,10 +72,12 @@
         """load, drag: the decision module's judgements of a worker as of now."""
         self.tables, self.limits, self.load, self.drag = tables, limits, load, drag
         self.floors = Floors(tables.running)
+        self.few = True
         self.cells: dict[Key, Cell] = {}
         self.special: dict[int, Worker] = {}
         self.cold: dict[int, Worker] = {}  # listed ready and not yet warm
         self.probing: dict[int, Worker] = {}  # a probe is out
+        self.told: list[Worker] = []  # of a small fleet: those that reported lately, without the slow
         self.slow: set[Worker] = set()  # left out of this step's draws
         self.least = -math.inf  # no worker that reported has a lower load in this step's draws
         self.usable = 0  # workers in health that reported lately, without the slow ones
@@ -87,7 +94,11 @@
 
     def touch(self, number: int) -> None:
         """Something about a worker has changed."""
-        self.touched[number] = None
+        self.touched[number], self.least = None, -math.inf
+
+    def probed(self, worker: Worker) -> None:
+        """A probe goes out to a worker: that leaves its load as it is."""
+        self.touched[worker.entry.worker] = None
 
     def heard(self, worker: Worker) -> None:
         """A worker has reported."""
@@ -100,14 +111,21 @@
     def begin(self) -> None:
         """Start the draws of a step: the slow are left out for all of it, unless most workers are."""
         self.sync()
+        self.least = -math.inf
         told = [worker for worker in self.special.values() if self._reported(worker)]
-        self.slow = {worker for worker in told if self.drag(worker) >= self.limits.slow}
+        slow = self.limits.slow
+        self.slow = {w for w in told if (w.live or w.drag[0] >= slow) and self.drag(w) >= slow}
         whole = len(told) + sum([len(cell.members) for key, cell in self.cells.items() if key.reported])
-        loads = [key.load for key in self.cells if key.reported] + [self.load(worker) for worker in told]
-        self.least = min(loads, default=math.inf)
         self.usable = whole - len(self.slow)
         if 2 * self.usable < whole:
             self.slow, self.usable = set(), whole
+        if self.few:
+            now, warm_ns, listed = self.tables.now_ns, self.settings.warm_after_ns, self.listed.items()
+            self.cold = {number: w for number, w in listed if w.started_ns and now < w.started_ns + warm_ns}
+            self.told = [worker for worker in told if worker not in self.slow] if self.slow else told
+        if len(self.tables.held) > 1:  # several draws ask for it
+            loads = [key.load for key in self.cells if key.reported] + [self.load(worker) for worker in told]
+            self.least = min(loads, default=math.inf)
 
     def sync(self) -> None:
         """Sort in anew whatever an event or time has changed."""
@@ -117,6 +135,10 @@
         while news and now - news[first := next(iter(news))].report_ns > LAPSE_NS:
             del news[first]
             self.touch(first)
+        if self.few:
+            self.touched.clear()
+            tables.planner.moved.clear()
+            return
         while self.calendar and self.calendar[0][0] <= now:
             due_ns, number = heapq.heappop(self.calendar)
             if (worker := tables.workers.get(number)) is not None and worker.check_ns == due_ns:
@@ -144,13 +166,28 @@
         for number, entry in self.entries.items():
             if entries.get(number) is not entry:
                 self.touch(number)
-        for worker in home ^ self.home:
-            self.touch(worker.entry.worker)
+        for number, worker in self.listed.items():
+            if (worker in home) != (worker in self.home):
+                self.touch(number)
         for number, worker in before.items():
             if self.listed.get(number) is not worker:
                 worker.place = -1
                 self._take_out(worker)
         self.settings, self.ready, self.home = tables.settings, tables.ready, home
+        few = len(self.ready) <= FEW
+        if few or self.few:
+            self._change_size(few)
+
+    def _change_size(self, few: bool) -> None:
+        """Keep all workers as special ones while they are few, and sort all in once they are more."""
+        self.few, self.special = few, {}
+        for worker in (*self.listed.values(), *self.tables.news.values()):
+            worker.cell, worker.check_ns = None, -1
+            self.touch(worker.entry.worker)
+        self.cells.clear()
+        self.calendar.clear()
+        if few:
+            self.special.update(self.listed)
 
     def _take_out(self, worker: Worker) -> None:
         number = worker.entry.worker
@@ -255,14 +292,18 @@
 
     # --- asking ---
 
+    def _well(self, worker: Worker) -> bool:
+        """True where a special worker is in health; of a large fleet those that are not are in no place."""
+        return not self.few or self._well_ns(worker) <= self.tables.now_ns
+
     def _reported(self, worker: Worker) -> bool:
-        return worker.entry.worker in self.tables.news
+        """True where a special worker has reported lately, and may be drawn."""
+        return worker.entry.worker in self.tables.news and worker.free is not None and self._well(worker)
 
     def all_reported(self) -> list[Worker]:
         """The workers in health that reported lately, in that order, without the slow ones."""
         found = [worker for key, cell in self.cells.items() if key.reported for worker in cell.members]
-        found += [w for w in self.special.values() if self._reported(w) and w not in self.slow]
-        return sorted(found, key=lambda worker: worker.heard)
+        return sorted([*found, *self._quick()], key=lambda worker: worker.heard)
 
     def busy(self, workers: list[Worker]) -> float:
         """The part of the workers' slots that is in use."""
@@ -271,8 +312,13 @@
 
     def asked(self) -> list[Worker]:
         """Workers that a probe is out to: those that reported lately, else those that are listed."""
+        news = self.tables.news
+        if self.few:
+            return [worker for worker in news.values() if worker.probe_out] or [
+                worker for worker in self.ready if worker.probe_out
+            ]
         out = self.probing.items()
-        return [worker for number, worker in out if number in self.tables.news] or [
+        return [worker for number, worker in out if number in news] or [
             worker for _, worker in out if worker.place >= 0
         ]
 
@@ -285,7 +331,7 @@
         self.sync()
         each, need = job.risky is not None and job.rules.group is Kin.CELL, job.request
         slots, memory, fits, found = need.slots, need.memory, dict[tuple[int, int], bool](), list[Group]()
-        if self.least + slots > 0.5:  # draws only add to loads
+        if self.least + slots > 0.5:
             return found
         for key, cell in self.cells.items():
             if not key.reported or key.load + slots > 0.5:
@@ -300,14 +346,16 @@
             if members:
                 found.append(Group(members, key.load, True, key.fresh, key.home))
         now, fresh_ns = self.tables.now_ns, self.limits.fresh_ns
-        for worker in self.special.values():
-            if not self._reported(worker) or worker in self.slow or (load := self.load(worker)) + slots > 0.5:
-                continue
-            if suits(worker) and holds(worker, memory):
+        for worker in self.told if self.few else self._quick():
+            if (load := self.load(worker)) + slots <= 0.5 and suits(worker) and holds(worker, memory):
                 fresh = now - worker.report_ns <= fresh_ns
                 found.append(Group([worker], load, True, fresh, worker in self.home, True))
         return found
 
+    def _quick(self) -> list[Worker]:
+        """The special workers that reported lately, without the slow ones."""
+        return [w for w in self.special.values() if w not in self.slow and self._reported(w)]
+
     def unreported(self, need: Request, suits: Callable[[Worker], bool], limit: float) -> list[Group]:
         """The workers without news that may have room: their load with the job is at most the limit."""
         fits, found = dict[tuple[int, int], bool](), list[Group]()
@@ -318,7 +366,9 @@
                 found.append(Group(cell.members, load, False))
         now = self.tables.now_ns
         for worker in self.special.values():
-            if self._reported(worker) or (worker.probe_out and now < worker.next_probe_ns):
+            if worker.entry.worker in self.tables.news or not self._well(worker):
+                continue
+            if worker.probe_out and now < worker.next_probe_ns:
                 continue
             if (load := self.load(worker)) + need.slots <= limit and suits(worker):
                 found.append(Group([worker], load, False, alone=True))
--- a/weldquay/ledger/records.py
+++ b/weldquay/ledger/records.py
@@ -133,7 +133,9 @@
 
     def waits(self, before_ns: int) -> bool:
         """True where an attempt that was sent before then has not told its start."""
-        return any([not each.started_ns and each.sent_ns < before_ns for each in self.live.values()])
+        return bool(self.live) and any(
+            [not each.started_ns and each.sent_ns < before_ns for each in self.live.values()]
+        )
 
     def may_be_asked(self, now_ns: int, fresh_ns: int) -> bool:
         """True where a probe would tell something new, and the worker is not resting."""
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -40,7 +40,7 @@
         first, self.now_ns, self.out = not self.begun_ns, now_ns, []
         self.begun_ns = self.begun_ns or now_ns
         for event in events:
-            self.index.touch(getattr(event, "worker", 0))
+            self.index.touched[getattr(event, "worker", 0)] = None
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
         if first and self.settings.asks_list:
--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -77,7 +77,7 @@
         asked = list(islice(fit, count))
         for worker in asked:
             worker.probe_out, worker.next_probe_ns = True, now + PROBE_REST_NS
-            self.index.touch(worker.entry.worker)
+            self.index.probed(worker)
             self.out.append(Probe(worker.entry.worker))
         self.probes_left -= len(asked)
         if not asked and not job.looks:  # join the look of another job
