Special workers that reported are listed once a pass

Cause: `reported` asked each special worker anew for every held job, though only a worker that is touched can change the answer within a pass (100 cold workers: a call of `_reported` for each at each draw).

Change: the list is kept until a worker is sorted in; the guard's counts are written anew.

--- a/weldquay/candidates/index.py
+++ b/weldquay/candidates/index.py
@@ -77,7 +77,7 @@
         self.special: dict[int, Worker] = {}
         self.cold: dict[int, Worker] = {}  # listed ready and not yet warm
         self.probing: dict[int, Worker] = {}  # a probe is out
-        self.told: list[Worker] = []  # of a small fleet: those that reported lately, without the slow
+        self.told: list[Worker] | None = None  # what `_quick` found
         self.slow: set[Worker] = set()  # left out of this step's draws
         self.least = -math.inf  # no worker that reported has a lower load in this step's draws
         self.usable = 0  # workers in health that reported lately, without the slow ones
@@ -112,8 +112,7 @@
         """Start the draws of a step: the slow are left out for all of it, unless most workers are."""
         self.sync()
         self.least = -math.inf
-        told = [worker for worker in self.special.values() if self._reported(worker)]
-        slow = self.limits.slow
+        told, slow = self._reported(), self.limits.slow
         self.slow = {w for w in told if (w.live or w.drag[0] >= slow) and self.drag(w) >= slow}
         whole = len(told) + sum([len(cell.members) for key, cell in self.cells.items() if key.reported])
         self.usable = whole - len(self.slow)
@@ -122,7 +121,7 @@
         if self.few:
             now, warm_ns, listed = self.tables.now_ns, self.settings.warm_after_ns, self.listed.items()
             self.cold = {number: w for number, w in listed if w.started_ns and now < w.started_ns + warm_ns}
-            self.told = [worker for worker in told if worker not in self.slow] if self.slow else told
+        self.told = [worker for worker in told if worker not in self.slow] if self.slow else told
         if len(self.tables.held) > 1:  # several draws ask for it
             loads = [key.load for key in self.cells if key.reported] + [self.load(worker) for worker in told]
             self.least = min(loads, default=math.inf)
@@ -149,6 +148,7 @@
         if tables.running.learnt and self.floors.follow():
             self.touched.update(dict.fromkeys(w.entry.worker for w in self.ready if w.live))
         if self.touched:
+            self.told = None
             for number in self.touched:
                 if (worker := tables.workers.get(number)) is not None:
                     self._sort_in(worker)
@@ -296,9 +296,11 @@
         """True where a special worker is in health; of a large fleet those that are not are in no place."""
         return not self.few or self._well_ns(worker) <= self.tables.now_ns
 
-    def _reported(self, worker: Worker) -> bool:
-        """True where a special worker has reported lately, and may be drawn."""
-        return worker.entry.worker in self.tables.news and worker.free is not None and self._well(worker)
+    def _reported(self) -> list[Worker]:
+        """The special workers that reported lately and may be drawn."""
+        news, special = self.tables.news, self.special.items()
+        told = [worker for number, worker in special if number in news]
+        return [w for w in told if w.free is not None and self._well(w)] if self.few else told
 
     def all_reported(self) -> list[Worker]:
         """The workers in health that reported lately, in that order, without the slow ones."""
@@ -346,7 +348,7 @@
             if members:
                 found.append(Group(members, key.load, True, key.fresh, key.home))
         now, fresh_ns = self.tables.now_ns, self.limits.fresh_ns
-        for worker in self.told if self.few else self._quick():
+        for worker in self._quick():
             if (load := self.load(worker)) + slots <= 0.5 and suits(worker) and holds(worker, memory):
                 fresh = now - worker.report_ns <= fresh_ns
                 found.append(Group([worker], load, True, fresh, worker in self.home, True))
@@ -354,7 +356,9 @@
 
     def _quick(self) -> list[Worker]:
         """The special workers that reported lately, without the slow ones."""
-        return [w for w in self.special.values() if w not in self.slow and self._reported(w)]
+        if self.told is None:
+            self.told = [worker for worker in self._reported() if worker not in self.slow]
+        return self.told
 
     def unreported(self, need: Request, suits: Callable[[Worker], bool], limit: float) -> list[Group]:
         """The workers without news that may have room: their load with the job is at most the limit."""
