A look goes through cold workers and kinds without asking each

Change: the cold ones are sorted once a change and read until enough are found; what a job asks of a kind and zone is asked once for the cells of both. Subsets sort by precomputed heights.

--- a/weldquay/candidates/index.py
+++ b/weldquay/candidates/index.py
@@ -76,6 +76,7 @@
         self.cells: dict[Key, Cell] = {}
         self.special: dict[int, Worker] = {}
         self.cold: dict[int, Worker] = {}  # listed ready and not yet warm
+        self.cold_rows: list[Worker] | None = None  # the same, in the order of the list
         self.probing: dict[int, Worker] = {}  # a probe is out
         self.told: list[Worker] | None = None  # what `_quick` found
         self.slow: set[Worker] = set()  # left out of this step's draws
@@ -119,6 +120,7 @@
         if 2 * self.usable < whole:
             self.slow, self.usable = set(), whole
         if self.few:
+            self.cold_rows = None
             now, warm_ns, listed = self.tables.now_ns, self.settings.warm_after_ns, self.listed.items()
             self.cold = {number: w for number, w in listed if w.started_ns and now < w.started_ns + warm_ns}
         self.told = [worker for worker in told if worker not in self.slow] if self.slow else told
@@ -174,7 +176,7 @@
                 worker.place = -1
                 self._take_out(worker)
         self.settings, self.ready, self.home = tables.settings, tables.ready, home
-        few = len(self.ready) <= FEW
+        self.cold_rows, few = None, len(self.ready) <= FEW
         if few or self.few:
             self._change_size(few)
 
@@ -196,7 +198,8 @@
             if not cell.members:
                 del self.cells[cell.key]
         self.special.pop(number, None)
-        self.cold.pop(number, None)
+        if self.cold.pop(number, None) is not None:
+            self.cold_rows = None
 
     def _sort_in(self, worker: Worker) -> None:
         """Put a worker where it belongs now, and note when that may change by time alone."""
@@ -211,7 +214,7 @@
         warm_ns = worker.started_ns + self.settings.warm_after_ns
         due_ns: float = math.inf
         if worker.started_ns and now < warm_ns:
-            self.cold[number], due_ns = worker, warm_ns
+            self.cold[number], self.cold_rows, due_ns = worker, None, warm_ns
         if (well_ns := self._well_ns(worker)) > now:
             due_ns = min(due_ns, well_ns)
         elif number not in self.tables.news or worker.free is not None:
@@ -258,7 +261,17 @@
             return None, math.inf
         asks, size = self.settings.may_probe and self.settings.reports_in_probes, round(worker.size)
         if not reported:
-            key = Key(False, False, False, entry.kind, entry.zone, 0.0, size or -1, worker.own, None)
+            key = Key(
+                False,
+                False,
+                False,
+                entry.kind,
+                entry.zone,
+                0.0,
+                size if worker.size else -1,
+                worker.own,
+                None,
+            )
             return key, until_ns
         stale_ns = worker.report_ns + self.limits.fresh_ns + 1
         if fresh := asks and now < stale_ns:
@@ -326,7 +339,20 @@
 
     def chilled(self) -> list[Worker]:
         """The workers that are not yet warm, in the order of the list."""
-        return sorted(self.cold.values(), key=lambda worker: worker.place)
+        if self.cold_rows is None:
+            self.cold_rows = sorted(self.cold.values(), key=lambda worker: worker.place)
+        return self.cold_rows
+
+    def suited(self, job: Job, suits: Callable[[Worker], bool]) -> list[Worker]:
+        """All workers of the list that the job could use, in its order, whatever their load and health."""
+        fits = dict[tuple[int, int], bool]()
+        if job.risky is not None and job.rules.group is Kin.CELL:
+            return [worker for worker in self.ready if suits(worker)]
+        return [
+            worker
+            for worker in self.ready
+            if (suits(worker) if worker.cell is None else self._fits(fits, worker.cell, suits))
+        ]
 
     def reported(self, job: Job, suits: Callable[[Worker], bool]) -> list[Group]:
         """The workers that reported lately and may take the job; suits: whether it is of use there at all."""
@@ -341,7 +367,7 @@
             members = cell.members
             if each:  # its key does not tell a worker's cell
                 members = [worker for worker in members if suits(worker)]
-            elif not self._fits(fits, key, cell, suits):
+            elif not self._fits(fits, cell, suits):
                 continue
             if key.memory is not None and memory > key.memory:
                 members = [worker for worker in members if holds(worker, memory)]
@@ -366,7 +392,7 @@
         for key, cell in self.cells.items():
             if key.reported or (load := self.load(cell.members[0])) + need.slots > limit:
                 continue
-            if self._fits(fits, key, cell, suits):
+            if self._fits(fits, cell, suits):
                 found.append(Group(cell.members, load, False))
         now = self.tables.now_ns
         for worker in self.special.values():
@@ -379,10 +405,9 @@
         return found
 
     @staticmethod
-    def _fits(
-        fits: dict[tuple[int, int], bool], key: Key, cell: Cell, suits: Callable[[Worker], bool]
-    ) -> bool:
+    def _fits(fits: dict[tuple[int, int], bool], cell: Cell, suits: Callable[[Worker], bool]) -> bool:
         """What a job asks of a worker in a cell is of its kind and zone alone: it is asked once for each."""
-        if (fit := fits.get((key.kind, key.zone))) is None:
-            fit = fits[key.kind, key.zone] = suits(cell.members[0])
+        like = cell.key.kind, cell.key.zone
+        if (fit := fits.get(like)) is None:
+            fit = fits[like] = suits(cell.members[0])
         return fit
--- a/weldquay/fleet/subset.py
+++ b/weldquay/fleet/subset.py
@@ -35,6 +35,7 @@
         return list(range(count))
     groups = count // size
     number, place = divmod(me, groups)
-    order = sorted(range(count), key=lambda at: (_height(workers[at], number), workers[at]))
+    heights = [(_height(worker, number), worker) for worker in workers]
+    order = sorted(range(count), key=heights.__getitem__)
     begin, end = place * count // groups, (place + 1) * count // groups
     return order[begin:end]
--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 from functools import partial
-from itertools import islice
+from itertools import chain, islice
 from operator import mul
 
 from weldquay.candidates.group import Group as Candidates, count, rows
@@ -70,10 +70,10 @@
         count = int(min(LOOK_MOST, self.probes_left))
         pool = self.ready if job.looks else self.home
         if job.rules.kind != -1 or job.risky is not None:
-            pool = [worker for worker in self.ready if self._suits(job, worker)]
+            pool = self.index.suited(job, partial(self._suits, job))
         some = self.random.sample(pool, min(len(pool), 3 * count))
-        some = [each for each in self.index.chilled() if each not in some] + some
-        fit = (each for each in some if each.may_be_asked(now, FRESH_NS) and self._suits(job, each))
+        rows = chain((each for each in self.index.chilled() if each not in some), some)
+        fit = (each for each in rows if each.may_be_asked(now, FRESH_NS) and self._suits(job, each))
         asked = list(islice(fit, count))
         for worker in asked:
             worker.probe_out, worker.next_probe_ns = True, now + PROBE_REST_NS
