The index forgets probes of workers that have left for good

Found by reading; a test with a hundred lists of 40 new workers failed before.

Change: a new list drops what the table does not know. The same test holds cells, special workers, the calendar and the table to the size of one list.

--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -134,3 +134,23 @@
     squares = sum((drawn[number] - each) ** 2 / each for number, each in wanted.items())
     freedom = len(wanted) - 1
     assert squares < freedom + 3 * math.sqrt(2 * freedom)
+
+
+def test_workers_that_come_and_go_leave_nothing_behind() -> None:
+    """After a hundred lists of 40 new workers each, some probes never answered, one list's worth is kept."""
+    script = Script(40, 1, True, seed=2)
+    dispatcher, index = script.dispatcher, script.dispatcher.index
+    for day in range(1, 101):
+        entries = tuple(api.WorkerEntry(1000 * day + n, api.WorkerState.READY, common=n) for n in range(40))
+        script.now += 20_000_000_000
+        dispatcher.step(script.now, [api.Membership(api.ListKind.FULL, entries), *script.call()])
+        for entry in entries[day % 4 :]:
+            report = api.LoadReport(float(day % 3), 8.0, 1.0)
+            dispatcher.step(script.now, [api.ProbeEnded(entry.worker, api.Outcome.OK, 1_000_000, report)])
+        dispatcher.step(script.now, script.call())
+        index.begin()
+        placed = sum(len(cell.members) for cell in index.cells.values()) + len(index.special)
+        assert placed <= 40 == len(index.listed) == len(index.entries)
+        assert len(index.calendar) <= 40 * 8 and len(index.cells) <= 40
+        assert set(index.probing) <= set(dispatcher.workers)
+    assert len(dispatcher.workers) <= 1100
--- a/weldquay/candidates/index.py
+++ b/weldquay/candidates/index.py
@@ -176,6 +176,7 @@
                 worker.place = -1
                 self._take_out(worker)
         self.settings, self.ready, self.home = tables.settings, tables.ready, home
+        self.probing = {number: w for number, w in self.probing.items() if number in tables.workers}
         self.cold_rows, few = None, len(self.ready) <= FEW
         if few or self.few:
             self._change_size(few)
