--- a/weldquay/discovery/list_lease.py
+++ b/weldquay/discovery/list_lease.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from weldquay.interface import ListFailure
+from weldquay.interface import ListFailure, ListKind, Membership
 
 CLOCK_NS = 6_000_000_000  # so long after discovery had a change and could be reached, it counts as reported
 MOVE_NS = 4_000_000_000  # so long after a reload what the agent at the new address has counts as reported
@@ -54,6 +54,18 @@
         """No attempt begins by the list from then on."""
         return self.deadline_ns - MARGIN_NS if self.granted else 0
 
+    def apply(self, now_ns: int, event: Membership) -> None:
+        """Take in what came of discovery, or did not."""
+        match event.kind:
+            case ListKind.FAILED:
+                self.fail(now_ns, event.silent_ns, event.failure)
+            case ListKind.CACHED:
+                self.inherit(event.lease_until_ns)
+            case ListKind.MOVED:
+                self.move(now_ns)
+            case _:
+                self.confirm(now_ns)
+
     def confirm(self, now_ns: int) -> None:
         """A whole line has come: nothing has been missed."""
         self.deadline_ns = max(self.deadline_ns, now_ns + CLOCK_NS)
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -18,21 +18,14 @@
 
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
+        self.lease.apply(self.now_ns, event)
         if event.kind is ListKind.FAILED:
-            self.lease.fail(self.now_ns, event.silent_ns, event.failure)
             self._ask_in(self.backoff.retry_delay_ns(
                 self.now_ns, self.settings.ask_within_ns, event.silent_ns, event.failure))
-            return
-        if event.kind is ListKind.CACHED:
-            self.lease.inherit(event.lease_until_ns)
-        elif event.kind is ListKind.MOVED:
-            self.lease.move(self.now_ns)
-            return
-        else:
-            self.lease.confirm(self.now_ns)
+        if event.kind not in (ListKind.CACHED, ListKind.MOVED, ListKind.FAILED):
             self.backoff.reset()
             self.ask_ns = -1  # an ask that is still due would replace a watch that is well
-        if event.kind is ListKind.CURRENT:
+        if event.kind in (ListKind.CURRENT, ListKind.MOVED, ListKind.FAILED):
             return
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
