--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -91,6 +91,7 @@
     def _place_held(self) -> None:
         """Place held jobs, dearest first, as far as there is room; give up those that can only be late."""
         now, holds = self.now_ns, self.planner.by_job
+        outdated = now >= self.lease.until_ns  # or may be: nothing is sent by the list
         self.index.begin()
         self.cold = len(self.index.cold if now >= self.settings.warm_after_ns else self.ready)
         blocked: dict[tuple[int, float], float] = {}  # least memory of a like job that found no worker
@@ -100,7 +101,7 @@
             if late or (job.risky is not None and not self._may_repeat(job, job.risky)):
                 self._answer(job)
                 continue
-            if now < job.wait_ns or now >= self.lease.until_ns:  # or the list may be out of date
+            if outdated or now < job.wait_ns:
                 continue
             skip = job.risky is None and need.memory >= blocked.get(like, math.inf)
             if not skip and self._place(job):
