Keep the port of a stopped server in tests that start it again

Cause: the test stopped its discovery and bound the same port seconds later, when another socket had taken it. A socket that is bound and does not listen refuses connections and keeps the port. The assertions are unchanged; test_descriptors had the same gap.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from example.toy import request, write_message
-from tests.site import Scripted, document, job
+from tests.site import Scripted, document, job, reserved
 from tests.test_list_clock import Failing, revision_then_reset
 from weldquay.limits import LEAST_SOCKETS
 
@@ -46,7 +46,7 @@
         await worker.start()
         await failing.start()
         failing.address_told = worker.address
-        port = int(failing.address.rsplit(":", 1)[1])
+        address = failing.address
         path, told = tmp_path / "config.json", document()
         told["limits"]["sockets"] = LEAST_SOCKETS
         row = {
@@ -60,7 +60,7 @@
             "up_since_ms": 0,
         }
         told["known"] = {"revision": 1, "complete": True, "members": [row]}
-        told |= {"listen": listen, "mgmt": mgmt, "discovery": f"127.0.0.1:{port}"}
+        told |= {"listen": listen, "mgmt": mgmt, "discovery": address}
         path.write_text(json.dumps(told))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -75,7 +75,8 @@
             async with asyncio.timeout(30):
                 await addresses(process)
                 assert (await request(listen, job("c0"))).body == b"TEXT"  # by the list that it was told
-                failing.stop()  # down
+                failing.stop()
+                down = reserved(address)
                 host, number = listen.split(":")
                 for _ in range(CROWD):
                     crowd.append(socket.create_connection((host, int(number))))
@@ -85,7 +86,7 @@
                 assert (await request(listen, write_message("GET /_health HTTP/1.1"))).status == 200
                 ready = await request(mgmt, write_message("GET /control/ready HTTP/1.1"))
                 assert ready.status in (200, 503)
-                await failing.start(port)
+                await failing.start_on(down)
                 while (await request(listen, job("late", left_ms=500))).status != 503:  # the drain is heeded
                     crowd.append(socket.create_connection((host, int(number))))
                 assert len(os.listdir(f"/proc/{process.pid}/fd")) <= LEAST_SOCKETS - 20
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -14,7 +14,7 @@
 
 from example.toy import Message, Server
 from tests.helpers import SECOND
-from tests.site import Site, site, until
+from tests.site import Site, reserved, site, until
 from tests.test_discovery_client import HEAD, listed
 from weldquay import interface as api
 from weldquay.discovery import backoff as backoff_module, list_lease
@@ -250,11 +250,12 @@
         failing = Failing(mute, 0)
         async with site(discovery=failing, group_size=200) as here:
             failing.address_told = here.workers[0].address
-            port = int(failing.address.rsplit(":", 1)[1])
+            address = failing.address
             failing.stop()
+            down = reserved(address)
             here.program.discovery.watch()
             await until(lambda: here.program.counters.counts["lists_failed"] >= 4)
-            await failing.start(port)
+            await failing.start_on(down)
             begun = time.monotonic()
             await heeded(here, failing)
             assert time.monotonic() - begun < 2  # 0.36 s; before, up to 10 s
--- a/weldquay/lab/http.py
+++ b/weldquay/lab/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 
 
@@ -122,6 +123,10 @@
         """Listen; on a port that the system chooses where none is given."""
         self.servers.append(await asyncio.start_server(self._serve, "127.0.0.1", port))
 
+    async def start_on(self, sock: socket.socket) -> None:
+        """Listen on a socket that is bound already."""
+        self.servers.append(await asyncio.start_server(self._serve, sock=sock))
+
     @property
     def address(self) -> str:
         """HOST:PORT where it listens first."""
