--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -189,6 +189,7 @@
 
     async def scenario() -> None:
         async with site() as here:
+            await until(lambda: here.program.exchange.listed)  # /_health says no before
             reader, writer = await asyncio.open_connection("127.0.0.1", here.program.server.port)
             writer.write(data)
             if behind:
