A worker's timetable and silence move beneath the policy, and the index is cut in two files

Change: `_table` is `Index.table`, the look for the oldest silent attempt is `Worker.quiet_ns`; `candidates/cells.py` keeps the cells, `candidates/index.py` answers draws.

--- /dev/null
+++ b/weldquay/candidates/cells.py
@@ -0,0 +1,284 @@
+"""Which workers are alike for any draw: kept by events and a calendar instead of asked of all at each draw.
+
+A worker is in one place: in a cell with those that no draw can tell apart; among the special ones, which a
+draw asks one by one (cold, slow, in doubt, behind an attempt that has not started, held for a large job, put
+back by operators); or in none, while it is unhealthy or its report tells no free slots.  An event that
+touches a worker, or a moment in the calendar, has it sorted in anew before the next draw.  In a fleet of few
+workers all of them are special: asking them costs less than keeping groups.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from weldquay.candidates.floors import Floors
+from weldquay.candidates.group import Key, free_memory
+from weldquay.estimators.runtime import Running
+from weldquay.interface import Settings, WorkerEntry
+from weldquay.ledger.records import LAPSE_NS, Cell, Job, Worker
+from weldquay.planning.planner import Planner
+
+
+class Tables(Protocol):
+    """What the index reads of the decision module's tables."""
+
+    now_ns: int
+    settings: Settings
+    held: dict[int, Job]
+    workers: dict[int, Worker]
+    ready: list[Worker]
+    home: list[Worker]
+    back: set[int]
+    news: dict[int, Worker]
+    planner: Planner
+    running: Running
+    usual_size: float
+
+
+FEW = 32  # workers up to which all are asked one by one
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Figures of the decision module.
+
+    fresh_ns: age up to which a report is fresh; start_ns: an attempt that has not told its start by then
+    tells of a queue; cover_ns: added on both sides where running times are compared; slow: logarithm of how
+    many times slower than its kind leaves a worker out; doubt: errors above it make a worker unfit for some
+    jobs.
+    """
+
+    fresh_ns: int
+    start_ns: int
+    cover_ns: int
+    slow: float
+    doubt: float
+
+
+class Cells:
+    """The workers of one dispatcher, by what decides over them."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        limits: Limits,
+        load: Callable[[Worker], float],
+        drag: Callable[[Worker], float],
+        takes_ns: Callable[[Job, Worker], float],
+    ) -> None:
+        """load, drag: the decision module's judgements of a worker as of now; takes_ns: of a job there."""
+        self.tables, self.limits, self.load, self.drag, self.takes_ns = tables, limits, load, drag, takes_ns
+        self.floors = Floors(tables.running)
+        self.few = True
+        self.cells: dict[Key, Cell] = {}
+        self.special: dict[int, Worker] = {}
+        self.cold: dict[int, Worker] = {}  # listed ready and not yet warm
+        self.cold_rows: list[Worker] | None = None  # the same, in the order of the list
+        self.probing: dict[int, Worker] = {}  # a probe is out
+        self.told: list[Worker] | None = None  # what `_quick` found
+        self.slow: set[Worker] = set()  # left out of this step's draws
+        self.least = -math.inf  # no worker that reported has a lower load in this step's draws
+        self.usable = 0  # workers in health that reported lately, without the slow ones
+        self.reports = 0  # heard so far
+        self.touched: dict[int, None] = {}
+        self.calendar: list[tuple[int, int]] = []  # heap of (when to sort a worker in anew, its number)
+        # The ready workers of the list that was followed last, its own ones, and their lines in it.
+        self.ready: list[Worker] = []
+        self.home: set[Worker] = set()
+        self.listed: dict[int, Worker] = {}
+        self.entries: dict[int, WorkerEntry] = {}
+        self.settings = tables.settings
+
+    def touch(self, number: int) -> None:
+        """Something about a worker has changed."""
+        self.touched[number], self.least = None, -math.inf
+
+    def probed(self, worker: Worker) -> None:
+        """A probe goes out to a worker: that leaves its load as it is."""
+        self.touched[worker.entry.worker] = None
+
+    def heard(self, worker: Worker) -> None:
+        """A worker has reported."""
+        self.reports += 1
+        worker.heard = self.reports
+        self.touch(worker.entry.worker)
+
+    def sync(self) -> None:
+        """Sort in anew whatever an event or time has changed."""
+        tables, now, news = self.tables, self.tables.now_ns, self.tables.news
+        if tables.ready is not self.ready or tables.settings is not self.settings:
+            self._relist()
+        while news and now - news[first := next(iter(news))].report_ns > LAPSE_NS:
+            del news[first]
+            self.touch(first)
+        if self.few:
+            self.touched.clear()
+            tables.planner.moved.clear()
+            return
+        while self.calendar and self.calendar[0][0] <= now:
+            due_ns, number = heapq.heappop(self.calendar)
+            if (worker := tables.workers.get(number)) is not None and worker.check_ns == due_ns:
+                self.touch(number)
+        if tables.planner.moved:
+            self.touched.update(dict.fromkeys(tables.planner.moved))
+            tables.planner.moved.clear()
+        if tables.running.learnt and self.floors.follow():
+            self.touched.update(dict.fromkeys(w.entry.worker for w in self.ready if w.live))
+        if self.touched:
+            self.told = None
+            for number in self.touched:
+                if (worker := tables.workers.get(number)) is not None:
+                    self._sort_in(worker)
+            self.touched.clear()
+
+    def _relist(self) -> None:
+        """Follow a new list of ready workers: what it changes is sorted in anew."""
+        tables, home, before, entries = self.tables, set(self.tables.home), self.listed, self.entries
+        self.listed = {worker.entry.worker: worker for worker in tables.ready}
+        self.entries = {number: worker.entry for number, worker in self.listed.items()}
+        if tables.settings is not self.settings:
+            entries = {}
+        for place, worker in enumerate(tables.ready):
+            worker.place = place
+        for number, entry in self.entries.items():
+            if entries.get(number) is not entry:
+                self.touch(number)
+        for number, worker in self.listed.items():
+            if (worker in home) != (worker in self.home):
+                self.touch(number)
+        for number, worker in before.items():
+            if self.listed.get(number) is not worker:
+                worker.place = -1
+                self._take_out(worker)
+        self.settings, self.ready, self.home = tables.settings, tables.ready, home
+        self.probing = {number: w for number, w in self.probing.items() if number in tables.workers}
+        self.cold_rows, few = None, len(self.ready) <= FEW
+        if few or self.few:
+            self._change_size(few)
+
+    def _change_size(self, few: bool) -> None:
+        """Keep all workers as special ones while they are few, and sort all in once they are more."""
+        self.few, self.special = few, {}
+        for worker in (*self.listed.values(), *self.tables.news.values()):
+            worker.cell, worker.check_ns = None, -1
+            self.touch(worker.entry.worker)
+        self.cells.clear()
+        self.calendar.clear()
+        if few:
+            self.special.update(self.listed)
+
+    def _take_out(self, worker: Worker) -> None:
+        number = worker.entry.worker
+        if (cell := worker.cell) is not None:
+            cell.remove(worker)
+            if not cell.members:
+                del self.cells[cell.key]
+        self.special.pop(number, None)
+        if self.cold.pop(number, None) is not None:
+            self.cold_rows = None
+
+    def _sort_in(self, worker: Worker) -> None:
+        """Put a worker where it belongs now, and note when that may change by time alone."""
+        number, now = worker.entry.worker, self.tables.now_ns
+        self._take_out(worker)
+        if worker.probe_out:
+            self.probing[number] = worker
+        else:
+            self.probing.pop(number, None)
+        if self.listed.get(number) is not worker:
+            return
+        warm_ns = worker.started_ns + self.settings.warm_after_ns
+        due_ns: float = math.inf
+        if worker.started_ns and now < warm_ns:
+            self.cold[number], self.cold_rows, due_ns = worker, None, warm_ns
+        if (well_ns := self._well_ns(worker)) > now:
+            due_ns = min(due_ns, well_ns)
+        elif number not in self.tables.news or worker.free is not None:
+            key, until_ns = self._key(worker)
+            due_ns = min(due_ns, until_ns)
+            if key is None:
+                self.special[number] = worker
+            else:
+                if (cell := self.cells.get(key)) is None:
+                    cell = self.cells[key] = Cell(key)
+                cell.add(worker)
+        # An earlier moment that is noted already will look at it again, and note the next.
+        if due_ns < math.inf and not now < worker.check_ns <= due_ns:
+            worker.check_ns = int(due_ns)
+            heapq.heappush(self.calendar, (worker.check_ns, number))
+
+    def _well_ns(self, worker: Worker) -> float:
+        """When a worker counts as healthy again, as far as time alone brings that; 0: it does."""
+        if self.tables.now_ns < worker.rest_ns:
+            return worker.rest_ns
+        if worker.suspect and self.settings.may_probe:
+            return math.inf
+        return worker.trial_ns if worker.suspect else 0
+
+    def _key(self, worker: Worker) -> tuple[Key | None, float]:
+        """The key of a healthy worker, None where it is special; and until when that holds."""
+        now, number, entry = self.tables.now_ns, worker.entry.worker, worker.entry
+        reported, lapses_ns = number in self.tables.news, worker.report_ns + LAPSE_NS + 1
+        if (
+            number in self.cold
+            or worker.errors > self.limits.doubt
+            or number in self.tables.back
+            or number in self.tables.planner.by_worker
+            or (worker.size < 0.5 and (reported or worker.size > 0))
+        ):
+            return None, math.inf
+        if reported and now >= lapses_ns:
+            return None, math.inf
+        if not reported and worker.free is not None and now < lapses_ns:
+            return None, lapses_ns
+        if not reported and worker.probe_out and now < worker.next_probe_ns:
+            return None, worker.next_probe_ns
+        if (until_ns := self._quick_ns(worker)) <= now:
+            return None, math.inf
+        asks, size = self.settings.may_probe and self.settings.reports_in_probes, round(worker.size)
+        if not reported:
+            key = Key(
+                False,
+                False,
+                False,
+                entry.kind,
+                entry.zone,
+                0.0,
+                size if worker.size else -1,
+                worker.own,
+                None,
+            )
+            return key, until_ns
+        stale_ns = worker.report_ns + self.limits.fresh_ns + 1
+        if fresh := asks and now < stale_ns:
+            until_ns = min(until_ns, stale_ns)
+        key = Key(
+            True,
+            fresh,
+            asks and worker in self.home,
+            entry.kind,
+            entry.zone,
+            self.load(worker),
+            size,
+            0.0,
+            free_memory(worker),
+        )
+        return key, min(until_ns, lapses_ns)
+
+    def _quick_ns(self, worker: Worker) -> float:
+        """Until when the worker surely is not slow, and no attempt there is late in telling its start."""
+        until_ns, limits = math.inf, self.limits
+        if worker.drag[0] >= limits.slow and self.drag(worker) >= limits.slow:
+            return 0
+        for attempt in worker.live.values():
+            if attempt.started_ns:
+                usual_ns = self.floors.usual_ns(attempt) + limits.cover_ns
+                due_ns = attempt.started_ns + math.exp(limits.slow) * usual_ns - limits.cover_ns - 2
+                until_ns = min(until_ns, due_ns)
+            elif self.settings.tells_start:
+                until_ns = min(until_ns, attempt.sent_ns + limits.start_ns + 1)
+        return until_ns
--- a/weldquay/ledger/records.py
+++ b/weldquay/ledger/records.py
@@ -137,6 +137,11 @@
             [not each.started_ns and each.sent_ns < before_ns for each in self.live.values()]
         )
 
+    def quiet_ns(self, now_ns: int) -> int:
+        """How long own attempts have been out there without a sign of any; 0 where none is out."""
+        waiting = [each.sent_ns for each in self.live.values() if not each.called_off]
+        return now_ns - max(self.job_sign_ns, min(waiting)) if waiting else 0
+
     def may_be_asked(self, now_ns: int, fresh_ns: int) -> bool:
         """True where a probe would tell something new, and the worker is not resting."""
         return now_ns - self.report_ns > fresh_ns and now_ns >= max(
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -28,7 +28,8 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.order, self.index = Order(self, self._dearness), Index(self, LIMITS, self._load, self._drag)
+        self.order = Order(self, self._dearness)
+        self.index = Index(self, LIMITS, self._load, self._drag, self._takes_ns)
         self.takes: dict[type, Callable[[Any], object]] = {
             Request: self._take, AttemptEnded: self._end_attempt, AttemptNote: self._note, Ending: self._end,
             ProbeEnded: self._end_probe, Membership: self._follow, Retuned: self._retune, Banned: self._ban,
--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -9,12 +9,10 @@
 from operator import mul
 
 from weldquay.candidates.group import Group as Candidates, count, rows
-from weldquay.candidates.index import Limits
-from weldquay.candidates.outlook import outlook
+from weldquay.candidates.cells import Limits
 from weldquay.interface import CloseIdle, Effect, Group, Probe, Send, SetTimer
 from weldquay.ledger.records import Attempt, Job, Worker
 from weldquay.planning.planner import Offer, Want
-from weldquay.planning.timetable import Timetable
 from weldquay.policy.health import DOUBT, FRESH_NS, LOOK_WAIT_NS, PROBE_REST_NS
 from weldquay.policy.members import Members
 from weldquay.policy.state import FIRST_SLOTS, RATE_TIME_NS
@@ -51,7 +49,7 @@
         return self._cold_room(worker) >= need.slots * self._expected_ns(job) and (
             entry.worker not in self.planner.by_worker or self.planner.admits(
                 self.now_ns, need.request, need.slots, need.memory, self._takes_ns(job, worker), entry.worker,
-                partial(self._table, worker)))
+                partial(self.index.table, worker)))
 
     def _untold(self, job: Job) -> list[Candidates]:
         """The workers without news that may have room, going by the mean of their zone."""
@@ -152,18 +150,11 @@
         end_ns = min(job.born_ns + rules.aim_ns + rules.stretch * run_ns, job.due_ns, self.end_ns)
         want = Want(
             need.request, need.slots, need.memory, run_ns, end_ns - now, self._worth(job), bool(need.hint_ns))
-        offers = [Offer(worker.entry.worker, self._takes_ns(job, worker), partial(self._table, worker))
+        offers = [Offer(worker.entry.worker, self._takes_ns(job, worker), partial(self.index.table, worker))
                   for worker in heapq.nsmallest(SEEK_AMONG, told, key=self._load) if self._suits(job, worker)]
         number = self.planner.seek(now, want, offers, len(told), busy, len(self.held))
         return None if number is None else self.workers[number]
 
-    def _table(self, worker: Worker) -> Timetable:
-        """A worker's room over time."""
-        size = round(worker.size if worker.size >= 0.5 else self.usual_size)
-        mean_ns = self.running.pace(worker.entry.kind) * self.running.mean()
-        return outlook(worker, size, self.now_ns, self.settings.tells_start, mean_ns,
-                       lambda job: self._takes_ns(job, worker))
-
     def _book(self, attempt: Attempt) -> None:
         job, key = attempt.job, (attempt.job.request.request, attempt.number)
         job.attempts, job.live[attempt.number] = attempt.number + 1, attempt
--- a/weldquay/policy/health.py
+++ b/weldquay/policy/health.py
@@ -52,10 +52,8 @@
 
     def _silent(self, worker: Worker) -> bool:
         """True where own attempts are out and neither note nor answer has come for too long."""
-        waiting = [a.sent_ns for a in worker.live.values() if not a.called_off]
         patience = max(SILENT_FLOOR_NS, SILENT_STEPS * self.settings.progress_ns)
-        return bool(waiting and self.settings.progress_ns) and (
-            self.now_ns - max(worker.job_sign_ns, min(waiting)) > patience)
+        return self.settings.progress_ns > 0 and worker.quiet_ns(self.now_ns) > patience
 
     def _hear(self, worker: Worker, report: LoadReport) -> None:
         """Take in a report, and learn how often they are new: pushes since the last new one are not in it."""
