Count slots at cold workers in the mean work of calls, as measured, not in fixed seconds

Seen: MIN_SHARE_NS (0.8 s) and SLOT_WORK_NS (2 s) stem from one customer's jobs: where calls are of 0.05 s a fleet of 200 uses 0.14 of what a cold worker could do in the restart model, as its parts are held to be too small for a call. Change: MIN_SHARE_JOBS 1.25 and SLOT_JOBS 4 of the mean work; Running.work() is the mean work of the calls that came (one call counts for ten times the mean at the most, a reload begins anew), Running.mean() until then.

--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -157,7 +157,7 @@
     return windows, used
 
 
-@pytest.mark.parametrize("fleet", [3, 6, 20, 30, 200])
+@pytest.mark.parametrize("fleet", [3, 6, 20, 30, 200, 230, 410])
 @pytest.mark.parametrize(("mean_s", "capacity"), [(0.05, 8.0), (0.5, 4.0), (1.0, 2.0)])
 def test_the_sum_over_a_fleet_that_restarts_pushes_nobody_over(
     fleet: int, mean_s: float, capacity: float
@@ -221,10 +221,34 @@
     """It cannot know what the one before it sent in this slice; the next slice is its own."""
     holder = next(me for me in range(40) if rank(7, 3, me, 40) == 0)
     for known_ns, may in ((3200 * MS, False), (3000 * MS, True)):
-        cold = Cold(7, 3500 * MS, CAPACITY, holder, 40, known_ns)
+        cold = Cold(7, 3500 * MS, CAPACITY, holder, 40, known_ns, mean_ns=MEAN_NS)
         assert (room(RULE, cold, deque()) > 0) is may
 
 
+@pytest.mark.parametrize("dispatchers", [3, 30, 200])
+def test_slots_go_by_the_mean_work_of_calls(dispatchers: int) -> None:
+    """Where all times are ten times shorter, what may be sent is as well: no figure is one site's jobs."""
+    fast = Rule(0.34, RULE.warm_after_ns // 10, RULE.multiple, RULE.window_ns // 10)
+    for me in range(dispatchers):
+        for age in range(8):
+            slow = Cold(7, age * SECOND, CAPACITY, me, dispatchers, 0, 1.0, MEAN_NS, MANY)
+            short = replace(slow, age_ns=age * SECOND // 10, mean_ns=MEAN_NS / 10)
+            assert room(fast, short, deque()) == pytest.approx(room(RULE, slow, deque()) / 10, rel=1e-6)
+
+
+def test_the_mean_work_is_that_of_the_calls_that_came() -> None:
+    """Slots times running time, by the mix of classes that comes; the settings' aims until then."""
+    running = Running([SECOND, 3 * SECOND])
+    assert running.work() == running.mean() == 2 * SECOND
+    for _ in range(200):
+        running.offer(0.5 * SECOND)
+    assert running.work() == pytest.approx(0.5 * SECOND, rel=0.01) and running.mean() == 2 * SECOND
+    running.know(
+        [SECOND, 3 * SECOND, 5 * SECOND], [True, False, True]
+    )  # a reload: nothing of the old mix stays
+    assert running.work() == 3 * SECOND
+
+
 def test_where_dispatchers_heard_of_it_at_other_times_each_has_only_its_part() -> None:
     """A worker that operators put back: there are no slices that all count alike."""
     parts = [room(RULE, Cold(None, SECOND, CAPACITY, me, 40), deque()) for me in range(40)]
--- a/weldquay/estimators/runtime.py
+++ b/weldquay/estimators/runtime.py
@@ -7,6 +7,7 @@
 
 LEARN = 0.05  # weight of a new sample in learnt means
 KIND_SAMPLES = 10  # answers that a machine kind's speed starts from, so that chance does not rule at first
+MAX_SAMPLE = 10.0  # of the mean work is what one call counts for at the most: a huge one must not rule it
 UNKNOWN = 0.6  # a kind that no answer has come from yet may be slower than the mean by this part
 
 
@@ -20,6 +21,7 @@
         self.slowness: dict[int, tuple[float, int]] = {}  # by machine kind: its part of that, samples
         self.service: dict[int, tuple[float, int]] = {}  # by kind: mean logarithm of told times, samples
         self.offered: list[bool] = []
+        self.work_ns = 0.0  # mean work of the calls that came under these classes; 0: none yet
         self.know(first_ns)
 
     def know(self, first_ns: Iterable[int], offered: Iterable[bool] = ()) -> None:
@@ -31,6 +33,7 @@
         self.mean_ns += fresh
         self.logs += [None] * len(fresh)
         self.offered = list(offered) or [True] * len(self.mean_ns)
+        self.work_ns = 0.0
 
     def learn(self, number: int, kind: int, run_ns: int) -> None:
         """A job of a class has run for so long on a machine of this kind."""
@@ -58,6 +61,15 @@
         means = [mean for mean, offered in zip(self.mean_ns, self.offered, strict=True) if offered]
         return sum(means) / len(means)
 
+    def offer(self, work_ns: float) -> None:
+        """A call has come: its slots times its expected running time, in ns."""
+        self.work_ns = self.work()
+        self.work_ns += LEARN * (min(work_ns, MAX_SAMPLE * self.work_ns) - self.work_ns)
+
+    def work(self) -> float:
+        """Mean work of a call, in ns: of those that have come, else the mean running time."""
+        return self.work_ns or self.mean()
+
     def pace(self, kind: int) -> float:
         """How many times longer than on a mean machine jobs run on one of this kind."""
         return math.exp(self.slowness.get(kind, (0.0, 0))[0])
--- a/weldquay/fleet/slow_start.py
+++ b/weldquay/fleet/slow_start.py
@@ -22,8 +22,8 @@
 from functools import lru_cache
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
-MIN_SHARE_NS = 800_000_000  # a part of the budget is of use to each from this on: one job of nearly any class
-SLOT_WORK_NS = 2_000_000_000  # work of a turn, where there is so much: half of all work is in jobs over 0.8 s
+MIN_SHARE_JOBS = 1.25  # of the mean work: a part of the budget is of use to each from this on
+SLOT_JOBS = 4.0  # of the mean work is in a turn, where there is so much: large jobs hold half of all work
 BUDGET_FRACTION = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
 SLOT_FRACTION = 0.48  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
 MIN_SLOT_JOBS = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
@@ -103,7 +103,8 @@
     may_ns, since_ns = BUDGET_FRACTION * budget_ns / cold.dispatchers, cold.age_ns - window_ns + 1
     if cold.known_ns > max(0, since_ns):  # what its earlier process has sent in this window is not known
         may_ns *= (1 - BUDGET_FRACTION) / BUDGET_FRACTION
-    if cold.number is not None and may_ns < MIN_SHARE_NS and cold.dispatchers > 1:  # a part would hold no job
+    holds_job = may_ns >= MIN_SHARE_JOBS * cold.mean_ns
+    if cold.number is not None and cold.dispatchers > 1 and not holds_job:
         may_ns, since_ns = _time_slot(rule, cold, cold.number)
     while sent and sent[0][0] < since_ns:
         sent.popleft()
@@ -120,7 +121,9 @@
     most_ns = rule.overload_threshold_ns(begin_ns, cold.capacity / cold.doubt, cold.mean_ns) / (SLICES + 1)
     whole_ns = SLOT_FRACTION * most_ns
     # A turn that holds no job is of use to nobody: fewer then, some slices without any.
-    each_ns = max(whole_ns / max(1, int(whole_ns / SLOT_WORK_NS)), min(most_ns, MIN_SLOT_JOBS * cold.mean_ns))
+    mean_ns = max(1.0, cold.mean_ns)
+    least_ns = min(most_ns, MIN_SLOT_JOBS * mean_ns)
+    each_ns = max(whole_ns / max(1, int(whole_ns / (SLOT_JOBS * mean_ns))), least_ns)
     turns = whole_ns / each_ns
     spare = cold.calls * cold.mean_ns / each_ns - cold.workers * turns / cold.dispatchers
     over = max(1.0, min(MAX_OVERCOMMIT, 1 / max(spare, 1 / MAX_OVERCOMMIT)))
--- a/weldquay/policy/jobs.py
+++ b/weldquay/policy/jobs.py
@@ -30,6 +30,7 @@
         born_ns = self.turned_away.pop(like, self.now_ns) if (like := _likeness(request)) else self.now_ns
         job = Job(request, self.settings.classes[request.job_class], born_ns, self.settings.max_attempts)
         self.jobs[request.request] = self.held[request.request] = job
+        self.running.offer(request.slots * self._expected_ns(job))
         # The answer is due a tick before the client's time runs out, whatever else happens.
         left_ns = int(max(0, min(request.time_left_ns - self.settings.tick_ns, self.end_ns - self.now_ns)))
         job.due_ns = self.now_ns + left_ns
