--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from dataclasses import replace
@@ -108,6 +109,49 @@
     assert used > 0.5 * sum(RULE.share(age * SECOND) for age in range(9)) / 9 * CAPACITY / 2
 
 
+def burst(seed: int, fleet: int, told: int, usable: int, before_s: float, after_s: float) -> list[float]:
+    """The fullest window of each usable worker where a fleet's calls jump from one rate to another at 3 s.
+
+    A dispatcher's rate is 5 s behind, calls wait up to 2 s, and it counts more cold workers than are usable.
+    """
+    draw, rise_ns, last_ns = random.Random(seed), 3 * SECOND, RULE.warm_after_ns
+    numbers = [draw.randrange(2**32) for _ in range(usable)]
+    own: dict[tuple[int, int], deque[tuple[int, float]]] = {}
+    sent: list[list[tuple[int, int]]] = [[] for _ in range(usable)]
+    rate, seen_ns = [before_s / fleet] * fleet, [0] * fleet
+    held: list[list[tuple[int, int]]] = [[] for _ in range(fleet)]
+    moments = [draw.randrange(rise_ns) for _ in range(int(before_s * 3))]
+    moments += [draw.randrange(rise_ns, last_ns) for _ in range(int(after_s * (last_ns - rise_ns) / SECOND))]
+    for at_ns in sorted(moments):
+        me = draw.randrange(fleet)
+        waiting = [each for each in held[me] if at_ns - each[0] < 2 * SECOND]
+        waiting.append((at_ns, int(draw.lognormvariate(-0.8, 1.27) * SECOND)))
+        rate[me], seen_ns[me] = rate[me] * math.exp((seen_ns[me] - at_ns) / (5 * SECOND)), at_ns
+        for call in list(waiting):
+            for worker in draw.sample(range(usable), usable):
+                mine = own.setdefault((me, worker), deque())
+                calls = max(rate[me], len(waiting))
+                cold = Cold(numbers[worker], at_ns, CAPACITY, me, fleet, 0, 1.0, float(SECOND), calls, told)
+                if room(RULE, cold, mine) >= call[1]:
+                    mine.append((at_ns, float(call[1])))
+                    sent[worker].append((at_ns, call[1]))
+                    rate[me] += 1 / 5
+                    waiting.remove(call)
+                    break
+        held[me] = waiting
+    return [fullest(each, mean_ns=float(SECOND)) for each in sent]
+
+
+@pytest.mark.parametrize("fleet", [20, 200, 410])
+@pytest.mark.parametrize(("told", "usable", "before_s", "after_s"), [(1, 1, 0, 400), (60, 3, 200, 400)])
+def test_a_burst_at_a_few_of_the_cold_workers_pushes_nobody_over(
+    fleet: int, told: int, usable: int, before_s: float, after_s: float
+) -> None:
+    """Calls come to all dispatchers at once, before any rate tells of them; most cold workers are full."""
+    windows = [window for seed in range(2) for window in burst(seed, fleet, told, usable, before_s, after_s)]
+    assert 0.1 < max(windows) < 1
+
+
 def restarts(
     seed: int, fleet: int, mean_s: float, capacity: float, many: float = 3.0
 ) -> tuple[list[float], float]:
