Take the overcommit of slots back to its sum, and size slots to what they were at the first site

Left: slots and parts in the mean work of calls, as measured, 2.3 and 0.9 of it, which is 2 s and 0.8 s where calls have 0.88 s of work. Ruled out with it: slots of 4 calls. Tests: the burst at a few of the cold workers stays, with the sum as the dispatcher reckons it (none over 1).

--- a/weldquay/fleet/slow_start.py
+++ b/weldquay/fleet/slow_start.py
@@ -22,13 +22,12 @@
 from functools import lru_cache
 
 SLICES = 2  # slices in a window: more leave turns too small for a job, fewer waste half of the budget
-MIN_SHARE_JOBS = 1.25  # of the mean work: a part of the budget is of use to each from this on
-SLOT_JOBS = 4.0  # of the mean work is in a turn, where there is so much: large jobs hold half of all work
+MIN_SHARE_JOBS = 0.9  # of the mean work: a part of the budget is of use to each from this on
+SLOT_JOBS = 2.3  # of the mean work is in a turn, where there is so much: large jobs hold half of all work
 BUDGET_FRACTION = 0.6  # of the budget is used: sizes and speeds of machines are only estimates
 SLOT_FRACTION = 0.48  # the same, of what makes it fall, where turns are taken: chance, unlike machines beside
 MIN_SLOT_JOBS = 1.25  # of the mean work is the least that a turn holds, where three such do not make it fall
-MAX_OVERCOMMIT = 4.0  # times the turns that are paid for, whatever lapses: a burst's part is a slice late
-MAX_CROWD = 2.0  # times the paid work that is used in a slice where most cold workers have no room for a call
+MAX_OVERCOMMIT = 6.0  # times the turns that are paid for, whatever lapses: a burst's part is a slice late
 _MASK = 2**64 - 1
 _CHANCE = 0xA0761D6478BD642F  # so that it is drawn apart from the ranks
 
@@ -126,9 +125,7 @@
     least_ns = min(most_ns, MIN_SLOT_JOBS * mean_ns)
     each_ns = max(whole_ns / max(1, int(whole_ns / (SLOT_JOBS * mean_ns))), least_ns)
     turns = whole_ns / each_ns
-    wanted = cold.calls * cold.mean_ns / each_ns
-    # Guards against a crowd at a few: not each of the workers that are cold need have room for a call.
-    spare = max(wanted - cold.workers * turns / cold.dispatchers, wanted / MAX_CROWD)
+    spare = cold.calls * cold.mean_ns / each_ns - cold.workers * turns / cold.dispatchers
     over = max(1.0, min(MAX_OVERCOMMIT, 1 / max(spare, 1 / MAX_OVERCOMMIT)))
     # A part of a turn is one by chance: the same at each look of this slice.
     chance = mix(mix(worker ^ _CHANCE) ^ mix(number << 32 | cold.me)) / (_MASK + 1)
--- a/weldquay/policy/cold.py
+++ b/weldquay/policy/cold.py
@@ -23,5 +23,5 @@
             worker.cold_ns, worker.cold_room = self.now_ns, room(self.rule, Cold(
                 common, age_ns, slots / self.running.pace(worker.entry.kind), rules.me, rules.dispatchers,
                 self.begun_ns - worker.started_ns, self.running.doubt(worker.entry.kind), self.running.work(),
-                max(self._rate() * self.rule.slice_ns, len(self.held)), self.cold), worker.pushed)
+                self._rate() * self.rule.slice_ns + len(self.held), self.cold), worker.pushed)
         return worker.cold_room
