--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from dataclasses import replace
@@ -108,6 +109,49 @@
     assert used > 0.5 * sum(RULE.share(age * SECOND) for age in range(9)) / 9 * CAPACITY / 2
 
 
+def burst(seed: int, fleet: int, told: int, usable: int, before_s: float, after_s: float) -> list[float]:
+    """The fullest window of each usable worker where a fleet's calls jump from one rate to another at 3 s.
+
+    A dispatcher's rate is 5 s behind, calls wait up to 2 s, and it counts more cold workers than are usable.
+    """
+    draw, rise_ns, last_ns = random.Random(seed), 3 * SECOND, RULE.warm_after_ns
+    numbers = [draw.randrange(2**32) for _ in range(usable)]
+    own: dict[tuple[int, int], deque[tuple[int, float]]] = {}
+    sent: list[list[tuple[int, int]]] = [[] for _ in range(usable)]
+    rate, seen_ns = [before_s / fleet] * fleet, [0] * fleet
+    held: list[list[tuple[int, int]]] = [[] for _ in range(fleet)]
+    moments = [draw.randrange(rise_ns) for _ in range(int(before_s * 3))]
+    moments += [draw.randrange(rise_ns, last_ns) for _ in range(int(after_s * (last_ns - rise_ns) / SECOND))]
+    for at_ns in sorted(moments):
+        me = draw.randrange(fleet)
+        waiting = [each for each in held[me] if at_ns - each[0] < 2 * SECOND]
+        waiting.append((at_ns, int(draw.lognormvariate(-0.8, 1.27) * SECOND)))
+        rate[me], seen_ns[me] = rate[me] * math.exp((seen_ns[me] - at_ns) / (5 * SECOND)), at_ns
+        for call in list(waiting):
+            for worker in draw.sample(range(usable), usable):
+                mine = own.setdefault((me, worker), deque())
+                calls = rate[me] + len(waiting)
+                cold = Cold(numbers[worker], at_ns, CAPACITY, me, fleet, 0, 1.0, float(SECOND), calls, told)
+                if room(RULE, cold, mine) >= call[1]:
+                    mine.append((at_ns, float(call[1])))
+                    sent[worker].append((at_ns, call[1]))
+                    rate[me] += 1 / 5
+                    waiting.remove(call)
+                    break
+        held[me] = waiting
+    return [fullest(each, mean_ns=float(SECOND)) for each in sent]
+
+
+@pytest.mark.parametrize("fleet", [20, 200, 410])
+@pytest.mark.parametrize(("told", "usable", "before_s", "after_s"), [(1, 1, 0, 400), (60, 3, 200, 400)])
+def test_a_burst_at_a_few_of_the_cold_workers_pushes_nobody_over(
+    fleet: int, told: int, usable: int, before_s: float, after_s: float
+) -> None:
+    """Calls come to all dispatchers at once, before any rate tells of them; most cold workers are full."""
+    windows = [window for seed in range(2) for window in burst(seed, fleet, told, usable, before_s, after_s)]
+    assert 0.1 < max(windows) < 1
+
+
 def restarts(
     seed: int, fleet: int, mean_s: float, capacity: float, many: float = 3.0
 ) -> tuple[list[float], float]:
@@ -157,7 +201,7 @@
     return windows, used
 
 
-@pytest.mark.parametrize("fleet", [3, 6, 20, 30, 200])
+@pytest.mark.parametrize("fleet", [3, 6, 20, 30, 200, 230, 410])
 @pytest.mark.parametrize(("mean_s", "capacity"), [(0.05, 8.0), (0.5, 4.0), (1.0, 2.0)])
 def test_the_sum_over_a_fleet_that_restarts_pushes_nobody_over(
     fleet: int, mean_s: float, capacity: float
@@ -196,9 +240,9 @@
 
 
 def test_a_turn_holds_a_large_job() -> None:
-    """Half of all work comes in jobs of over 0.8 s; small turns leave them to the few warm workers."""
+    """Where calls have 0.88 s of work half of it is in jobs of over 0.8 s; small turns leave them to few."""
     rooms = [
-        room(RULE, Cold(7, 4 * SECOND, CAPACITY, me, 40, mean_ns=MEAN_NS, calls=MANY), deque())
+        room(RULE, Cold(7, 4 * SECOND, CAPACITY, me, 40, mean_ns=0.88 * SECOND, calls=MANY), deque())
         for me in range(40)
     ]
     assert sum(each > 0 for each in rooms) >= 1 and max(rooms) > 2 * SECOND
@@ -221,10 +265,34 @@
     """It cannot know what the one before it sent in this slice; the next slice is its own."""
     holder = next(me for me in range(40) if rank(7, 3, me, 40) == 0)
     for known_ns, may in ((3200 * MS, False), (3000 * MS, True)):
-        cold = Cold(7, 3500 * MS, CAPACITY, holder, 40, known_ns)
+        cold = Cold(7, 3500 * MS, CAPACITY, holder, 40, known_ns, mean_ns=MEAN_NS)
         assert (room(RULE, cold, deque()) > 0) is may
 
 
+@pytest.mark.parametrize("dispatchers", [3, 30, 200])
+def test_slots_go_by_the_mean_work_of_calls(dispatchers: int) -> None:
+    """Where all times are ten times shorter, what may be sent is as well: no figure is one site's jobs."""
+    fast = Rule(0.34, RULE.warm_after_ns // 10, RULE.multiple, RULE.window_ns // 10)
+    for me in range(dispatchers):
+        for age in range(8):
+            slow = Cold(7, age * SECOND, CAPACITY, me, dispatchers, 0, 1.0, MEAN_NS, MANY)
+            short = replace(slow, age_ns=age * SECOND // 10, mean_ns=MEAN_NS / 10)
+            assert room(fast, short, deque()) == pytest.approx(room(RULE, slow, deque()) / 10, rel=1e-6)
+
+
+def test_the_mean_work_is_that_of_the_calls_that_came() -> None:
+    """Slots times running time, by the mix of classes that comes; the settings' aims until then."""
+    running = Running([SECOND, 3 * SECOND])
+    assert running.work() == running.mean() == 2 * SECOND
+    for _ in range(200):
+        running.offer(0.5 * SECOND)
+    assert running.work() == pytest.approx(0.5 * SECOND, rel=0.01) and running.mean() == 2 * SECOND
+    running.know(
+        [SECOND, 3 * SECOND, 5 * SECOND], [True, False, True]
+    )  # a reload: nothing of the old mix stays
+    assert running.work() == 3 * SECOND
+
+
 def test_where_dispatchers_heard_of_it_at_other_times_each_has_only_its_part() -> None:
     """A worker that operators put back: there are no slices that all count alike."""
     parts = [room(RULE, Cold(None, SECOND, CAPACITY, me, 40), deque()) for me in range(40)]
