--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,335 @@
+"""Lists of over a thousand workers, hundreds of dispatchers: nothing is cut short, and memory stays flat."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import sys
+import time
+import zlib
+from collections import Counter
+from functools import partial
+from pathlib import Path
+from typing import Any, NamedTuple
+from unittest.mock import Mock
+
+import pytest
+
+from example.toy import NO_LOAD, Discovery, Message, Server, write_message
+from tests.helpers import MS, SECOND, Drive, sends, settings
+from tests.site import ACCEPTED, Scripted, document, site, until
+from tests.test_descriptors import addresses, free_port
+from tests.test_handover import newer
+from weldquay import interface as api
+from weldquay.fleet.subset import subset
+from weldquay.lab.http import Pool, write_line
+from weldquay.lab.servers import MOST_TRIES, TRY_AGAIN_S
+from weldquay.net.config import read
+from weldquay.net import program, workers
+from weldquay.net.program import Phase
+from weldquay.net.streams import connect
+from weldquay.policy.members import MAX_DEPARTED
+
+SOCKETS, MEMORY_MB = 576, 88
+SPARE = 2  # descriptors that are never taken
+READY, GONE = api.WorkerState.READY, api.WorkerState.GONE
+
+
+class Fleet(Scripted):
+    """Any number of workers in one server; the address that a job came to tells which of them has it."""
+
+    def __init__(self, dispatcher: str = "") -> None:
+        super().__init__("", dispatcher)
+        self.pools: dict[str, Pool] = {}
+
+    async def start(self, port: int = 0) -> None:
+        """Listen at all loopback addresses."""
+        self.servers.append(await asyncio.start_server(self._serve, "0.0.0.0", port))
+
+    def list_at(self, discovery: Discovery, count: int, pad: int = 0) -> None:
+        """List so many workers, with ids of so many characters at the least."""
+        port = self.address.rpartition(":")[2]
+        for number in range(count):
+            host = f"127.1.{number // 250}.{number % 250 + 1}"
+            discovery.put(f"{host}:{port}".ljust(pad, "x"), [f"{host}:{port}"])
+
+    async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Take a job and be done with it at once, as the worker that is meant."""
+        if message.method == "POST":
+            name, call = message.headers["host"], message.headers["x-correlation-id"]
+            self.jobs[call] = asyncio.create_task(self.done(name, call))
+            writer.write(ACCEPTED)
+        else:
+            await super().answer(message, writer)
+
+    async def done(self, name: str, call: str) -> None:
+        """The call-back, on the connection that this worker keeps, ten times at the most."""
+        pool = self.pools.setdefault(name, Pool(self.dispatcher))
+        told = {"id": call, "from": name, "state": "done", "result": "done"}
+        data = write_message("POST /callback HTTP/1.1", json.dumps(told).encode())
+        for _ in range(MOST_TRIES):
+            try:
+                await pool.ask(data)
+                break
+            except (OSError, asyncio.IncompleteReadError):  # its connection made room for another
+                await asyncio.sleep(TRY_AGAIN_S)
+        del self.jobs[call]
+
+    def load(self) -> dict[str, float]:
+        """Each of them has room."""
+        return NO_LOAD
+
+
+def changes(numbers: range, state: api.WorkerState) -> api.Membership:
+    """Changes of the list as one event."""
+    return api.Membership(api.ListKind.DELTA, tuple(api.WorkerEntry(number, state) for number in numbers))
+
+
+@pytest.mark.parametrize("count", [1100, 1500])
+def test_a_list_of_any_length_stays_whole(count: int) -> None:
+    """The departed are bounded beside it: none with a job is dropped, and one that returns is still known."""
+    drive = Drive(settings(may_probe=False), workers=count)
+    here = drive.dispatcher
+    drive.step(api.ProbeEnded(7, api.Outcome.CONNECT_FAILED, MS))
+    assert len(here.ready) == count and here.workers[7].suspect
+    (push,) = sends(drive.step(api.Request(1, 0, 9 * SECOND, 1.0, 0.0, None, 0, False)))
+    drive.step(api.Membership(api.ListKind.FULL))
+    assert not here.ready
+    drive.step(drive.list_of(api.ListKind.FULL))
+    assert len(here.ready) == count and here.workers[7].suspect
+    drive.step(changes(range(push.worker, push.worker + 1), GONE))
+    for first in range(count + 1, count + 1 + 3 * MAX_DEPARTED, 512):  # ids that change
+        drive.step(changes(range(first, first + 512), READY))
+        drive.step(changes(range(first, first + 512), GONE))
+        assert len(here.workers) <= count + MAX_DEPARTED
+    assert push.worker in here.workers and {each.entry.worker for each in here.ready} == {
+        number for number in range(1, count + 1) if number != push.worker
+    }
+
+
+def test_changes_that_come_together_cost_one_look_at_the_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a stall: sorting 1,400 workers anew for each of 1,400 lines took seconds."""
+    drive = Drive(settings(dispatchers=410, me=409), workers=1400)
+    counted = Mock(side_effect=drive.dispatcher._sort)
+    monkeypatch.setattr(drive.dispatcher, "_sort", counted)
+    drive.step(*(changes(range(number, number + 1), GONE) for number in range(1, 701)))
+    assert counted.call_count == 1 and len(drive.dispatcher.ready) == 700
+    assert {each.entry.worker for each in drive.dispatcher.home} <= set(range(701, 1401))
+
+
+def test_more_workers_than_connections_are_all_served() -> None:
+    """An idle connection makes room; where none is idle a call waits, and no worker is blamed for it."""
+
+    async def scenario() -> None:
+        async with site(workers=6) as here:
+            side, counts = here.program.workers, here.program.counters.counts
+            await until(lambda: here.program.exchange.listed)
+            side.most_connections = 2
+            for number in range(24):
+                assert (await here.post(f"c{number}")).body == b"TEXT"
+                assert side.open_connections <= 2 and len(side.idle) <= 2
+            assert counts["connections_evicted"] > 2 and not counts["connections_over_limit"]
+            held: list[Message] = []
+            answer = asyncio.Event()
+
+            async def hold(worker: Scripted, message: Message, writer: asyncio.StreamWriter) -> None:
+                held.append(message)
+                await answer.wait()
+                await worker.telling("late")(message, writer)
+
+            for worker in here.workers:
+                worker.script = partial(hold, worker)
+            calls = [asyncio.create_task(here.post(f"d{number}")) for number in range(6)]
+            await until(lambda: len(held) == 2 and side.waiting)
+            answer.set()
+            assert [(await call).body for call in calls] == [b"late"] * 6
+            assert not counts["attempts_connect_failed"] and not counts["probes_connect_failed"]
+            assert not any(worker.suspect for worker in here.program.exchange.dispatcher.workers.values())
+            side.limit(1 / side.full)  # another process has the others
+            await until(lambda: side.open_connections <= 1)
+
+    asyncio.run(scenario())
+
+
+class Told(Server):
+    """Discovery that writes these values to a watch, each once the test says so, and then is silent."""
+
+    def __init__(self, values: list[Any]) -> None:
+        super().__init__()
+        self.values, self.go = values, asyncio.Semaphore(0)
+
+    async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """A watch."""
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for value in self.values:
+            await self.go.acquire()
+            for line in value:
+                write_line(writer, json.dumps(line).encode())
+        await asyncio.Event().wait()
+
+
+def test_a_list_comes_whole_in_one_value_and_changes_in_any_number() -> None:
+    """1,100 workers in one value, all of them as changes in 11 lines, 700 changes in one value."""
+
+    def value(complete: bool, revision: int, numbers: range, phase: str) -> dict[str, Any]:
+        told = Discovery()
+        for number in numbers:
+            told.put(f"m{number}", [f"127.1.{number // 250}.{number % 250 + 1}:9"], phase)
+        return {"revision": revision, "complete": complete, "members": [*told.members.values()]}
+
+    lines = [value(False, 3 + n, range(100 * n, 100 * n + 100), "DRAINING") for n in range(11)]
+    tellings = [
+        [value(True, 2, range(1100), "SERVING")],
+        lines,
+        [value(False, 14, range(700), "SERVING")],
+        [value(False, 15, range(700), "DELETED")],
+        [value(False, 16, range(700), "SERVING"), value(False, 17, range(700, 1100), "SERVING")],
+    ]
+
+    async def scenario() -> None:
+        discovery = Told(tellings)
+        async with site(workers=0, discovery=discovery) as here:
+            decisions, side = here.program.exchange.dispatcher, here.program.workers
+            for ready, listed in ((1100, 1100), (0, 1100), (700, 1100), (0, 400), (1100, 1100)):
+                discovery.go.release()
+                await until(lambda: len(decisions.ready) == ready)  # noqa: B023
+                assert len(side.members()) == listed
+            assert len(side.known) == len(decisions.workers) == 1100
+            assert here.program.counters.counts["lists_failed"] == 0
+
+    asyncio.run(scenario())
+
+
+def test_any_dispatcher_of_410_finds_its_place() -> None:
+    """The settings take the number, and each has some workers of 1,400 that it turns to first."""
+    config = read({}, document(group_size=410, me=409))
+    assert (config.settings.dispatchers, config.settings.me) == (410, 409)
+    with pytest.raises(ValueError, match="setting me is not among the 410 dispatchers"):
+        read({}, document(group_size=410, me=410))
+    common = [zlib.crc32(b"%d" % number) for number in range(1400)]
+    sharers = Counter(place for me in range(410) for place in subset(common, me, 410))
+    assert len(sharers) == 1400 and min(sharers.values()) >= 3
+
+
+@pytest.mark.parametrize("pad", [0, 400])
+def test_a_handover_passes_all_workers(pad: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """With discovery away the newer process has them from the older one alone, however long their ids are."""
+
+    async def scenario() -> None:
+        async with site() as here:
+            fleet = Fleet()
+            await fleet.start()
+            fleet.list_at(here.discovery, 1100, pad)
+            await here.discovery.tell()
+            named = {each["id"] for each in here.discovery.members.values()}
+            await until(lambda: {each.id for each in here.program.workers.members()} == named)
+            here.discovery.stop()
+            async with newer(here) as second:
+                assert {each.id for each in second.workers.members()} == named
+                assert len(second.exchange.dispatcher.ready) == len(named) == 1101
+                assert second.counters.counts["handover_worker"] == 1101
+                assert second.phase is Phase.SERVING and here.program.phase is Phase.HANDED_OVER
+            fleet.stop()
+
+    monkeypatch.setattr(program, "LIST_S", 0.2)  # so long it waits for discovery, too
+    asyncio.run(scenario())
+
+
+def test_a_stall_of_its_own_tells_nothing_against_workers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection that came up while the process stood still is not one that the worker refused."""
+    stalls = [0.5]
+
+    async def slow(host: str, port: int, limit: int) -> Any:
+        if stalls:
+            time.sleep(stalls.pop())
+        return await connect(host, port, limit)
+
+    async def scenario() -> None:
+        async with site(workers=2) as here:
+            counts = here.program.counters.counts
+            assert (await here.post()).body == b"TEXT" and counts["connections_stalled"] == 1
+            assert not counts["connections_failed"] and not counts["attempts_connect_failed"]
+            assert not any(worker.suspect for worker in here.program.exchange.dispatcher.workers.values())
+
+    monkeypatch.setattr(workers, "connect", slow)
+    asyncio.run(scenario())
+
+
+class Load(NamedTuple):
+    """What a process of its own held at most while calls went through it."""
+
+    descriptors: int
+    resident_mb: float
+    answers: Counter[int]
+    counters: dict[str, float]
+
+
+async def play(path: Path, workers: int, clients: int, calls: int, body: bytes, **settings: Any) -> Load:
+    """Start a dispatcher as the deployment does, have clients call, each on a connection that it keeps."""
+    listen = f"127.0.0.1:{free_port()}"
+    fleet, discovery, told = Fleet(listen), Discovery(), document(**settings)
+    await fleet.start()
+    await discovery.start()
+    fleet.list_at(discovery, workers)
+    told |= {"listen": listen, "mgmt": None, "discovery": discovery.address, "known": discovery.told()}
+    told["settings"]["services"][0] |= {
+        "aim_ns": 20 * SECOND,
+        "give_up_ns": 30 * SECOND,
+    }  # on a busy machine, too
+    told["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    path.write_text(json.dumps(told))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "weldquay"),
+        env={**os.environ, "GW_CONFIG": str(path)},
+        preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    most, answers = 0, Counter[int]()
+
+    async def client(number: int) -> None:
+        nonlocal most
+        pool = Pool(listen)
+        for each in range(calls):
+            head = f"X-Correlation-Id: c{number}-{each}", "X-Time-Left-Ms: 30000"
+            answer = await pool.ask(write_message("POST /lookup/a HTTP/1.1", body, *head))
+            answers[answer.status] += 1
+            most = max(most, len(os.listdir(f"/proc/{process.pid}/fd")))
+        pool.close()
+
+    try:
+        async with asyncio.timeout(60):
+            await addresses(process)
+            await asyncio.gather(*map(client, range(clients)))
+            status = Path(f"/proc/{process.pid}/status").read_text()
+            process.terminate()
+            assert process.stderr is not None
+            log = (await process.stderr.read()).decode()
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        fleet.stop()
+        discovery.stop()
+    peak_kb = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+    return Load(most, peak_kb / 1024, answers, json.loads(log.rpartition("counters ")[2].splitlines()[0]))
+
+
+@pytest.mark.parametrize("dispatchers", [3, 410])
+def test_the_program_stays_within_what_a_deployment_gives(tmp_path: Path, dispatchers: int) -> None:
+    """Calls go through one after another, with 1,100 workers; `pytest -s` prints what was held."""
+    told = {"group_size": dispatchers, "me": dispatchers - 1}
+    load = asyncio.run(play(tmp_path / "config.json", 1100, 20, 25, b"x" * 1024, **told))
+    print(dispatchers, load)
+    assert load.answers == {200: 500}
+    assert load.descriptors <= SOCKETS - SPARE and load.resident_mb < MEMORY_MB
+
+
+def test_a_crowd_with_large_bodies_stays_within_them_too(tmp_path: Path) -> None:
+    """As many clients as there is room for, all at once, and 1,100 workers that keep connections."""
+    load = asyncio.run(play(tmp_path / "config.json", 1100, 300, 3, b"x" * 65536, group_size=3, me=2))
+    print(load)
+    assert load.answers.total() == 900 and load.answers.keys() <= {200, 503}
+    assert load.descriptors <= SOCKETS - SPARE and load.resident_mb < MEMORY_MB
--- a/weldquay/lab/http.py
+++ b/weldquay/lab/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass
 
 
@@ -76,7 +77,11 @@
                 return await self._ask(kept, data)
             except (asyncio.IncompleteReadError, ConnectionError):
                 continue  # closed between two requests, as servers may
-        return await self._ask(await asyncio.open_connection(self.host, self.port), data)
+        return await self._ask(await self.connect(), data)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A new connection."""
+        return await asyncio.open_connection(self.host, self.port)
 
     async def _ask(
         self,
@@ -118,6 +123,10 @@
         """Listen; on a port that the system chooses where none is given."""
         self.servers.append(await asyncio.start_server(self._serve, "127.0.0.1", port))
 
+    async def start_on(self, sock: socket.socket) -> None:
+        """Listen on a socket that is bound already."""
+        self.servers.append(await asyncio.start_server(self._serve, sock=sock))
+
     @property
     def address(self) -> str:
         """HOST:PORT where it listens first."""
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -10,17 +10,16 @@
 import asyncio
 import logging
 import time
-import zlib
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections.abc import Callable
 
 from weldquay import interface as api
 from weldquay.policy.dispatcher import Dispatcher
-from weldquay.policy.members import MOST_KEPT
+from weldquay.net.call_transfer import CallTransfer
 from weldquay.net.calls import Answer, Attempt, Call, Failed, Overload, DiscoverySide, Served, WorkerSide
 from weldquay.net.config import Config, numbered
 from weldquay.net.counters import Counters
-from weldquay.net.messages import CallBack, Figures, Member, MemberList
+from weldquay.net.list_intake import ListIntake
+from weldquay.net.messages import CallBack, Figures
 
 log = logging.getLogger(__name__)
 
@@ -28,7 +27,7 @@
 MS = 1_000_000
 
 
-class Exchange:
+class Exchange(ListIntake, CallTransfer):
     """One dispatcher at work: events in, decisions, actions out."""
 
     def __init__(self, config: Config, counters: Counters) -> None:
@@ -48,13 +47,13 @@
         self.worker_numbers: dict[str, int] = {}
         self.worker_names: dict[int, str] = {}
         self.bans: set[str] = set()  # workers that operators took out
-        self.listed = False  # discovery has told which workers there are
+        self.waits_for_list = False  # requests are held, since the list may be out of date
         self.zones, self.kinds = numbered(config.zones), numbered(config.kinds)
 
     def start(self, workers: WorkerSide, discovery: DiscoverySide) -> None:
         """Begin with the list that the configuration holds."""
         self.workers, self.discovery = workers, discovery
-        self.follow(self.config.known, api.ListKind.CACHED)
+        self.follow(self.config.known, api.ListKind.CACHED, self.config.lease_until_ns)
 
     @property
     def owes(self) -> bool:
@@ -230,33 +229,6 @@
         if (number := self.worker_numbers.get(worker_id)) is not None:
             self._tell(api.ProbeEnded(number, outcome, latency_ns, load))
 
-    # --- the registry's side ---
-
-    def follow(self, told: MemberList, kind: api.ListKind) -> None:
-        """Take in the list, or changes of it."""
-        self.counters.add(f"lists_{kind.value}")
-        self._forget()
-        for member in told.members:
-            self._number(member.id)
-        self.workers.follow(told)
-        self._tell(api.Membership(kind, tuple(self._entry(member) for member in told.members)))
-
-    def _forget(self) -> None:
-        """Guard against ids that change for years: what the decisions have forgotten goes here too."""
-        if len(self.worker_numbers) > MOST_KEPT and not self.events:
-            for worker_id, number in list(self.worker_numbers.items()):
-                if number not in self.dispatcher.workers and worker_id not in self.bans:
-                    del self.worker_numbers[worker_id], self.worker_names[number]
-                    self.workers.forget(worker_id)
-
-    def _number(self, worker_id: str) -> int:
-        """The number of a worker, a new one where it has none."""
-        if worker_id not in self.worker_numbers:
-            self.last_worker += 1
-            number = self.last_worker
-            self.worker_numbers[worker_id], self.worker_names[number] = number, worker_id
-        return self.worker_numbers[worker_id]
-
     # --- operators ---
 
     def knows(self, worker_id: str) -> bool:
@@ -270,105 +242,6 @@
             self.workers.ban(worker_id, on)
             self._tell(api.Banned(self._number(worker_id), on))
 
-    # --- an earlier and a later process of this dispatcher ---
-
-    def remember(self) -> dict[str, Any]:
-        """What the decisions know of each worker, by its id."""
-        return {self.worker_names[number]: told for number, told in self.dispatcher.remember().items()}
-
-    def recall(self, worker_id: str, told: Mapping[str, Any]) -> None:
-        """Take in what an earlier process knew of a worker."""
-        self._tell(api.Recalled(self._number(worker_id), told))
-
-    def may_pass(self, call: Call) -> bool:
-        """True where a later process can go on with the call: nothing of it is half done here.
-
-        That process knows today's rules, and of an attempt that has ended only that it has.
-        """
-        settings = self.config.settings
-        return call.open and (
-            call.rules == settings.classes[call.job_class]
-            and call.most == settings.max_attempts
-            and (call.safe or not call.ran)
-            and not self.workers.is_telling(call)
-        )
-
-    def pass_on(self, call: Call) -> dict[str, Any]:
-        """End a call here without an answer: a later process goes on with what this tells."""
-        attempts = [
-            [each.number, each.worker_id, each.sent_ns, each.deadline_ns, each.begun_ns]
-            for each in call.live.values()
-        ]
-        told = {
-            "class": self.config.class_names[call.job_class],
-            "opened_ns": call.opened_ns,
-            "deadline_ns": call.deadline_ns,
-            "sends": call.sends,
-            "attempts": attempts,
-        }
-        for attempt in list(call.live.values()):
-            self._remove(attempt)
-            self._tell(
-                api.AttemptEnded(call.number, attempt.number, attempt.worker, api.Outcome.CANCELLED, 0, True)
-            )
-        self._close(call)
-        self._tell(api.ClientGone(call.number))
-        return told
-
-    def adopt(
-        self, told: Mapping[str, Any], figures: Figures, payload: object, on_answer: Callable[[Answer], None]
-    ) -> Call:
-        """Go on with a call as an earlier process told of it."""
-        self.counters.add("calls_adopted")
-        call = self._enter(
-            figures,
-            self.config.class_names.index(told["class"]),
-            payload,
-            told["opened_ns"],
-            told["deadline_ns"],
-            on_answer,
-        )
-        call.sends, now_ns = told["sends"], time.monotonic_ns()
-        worker = sent_ns = begun_ns = 0
-        for number, worker_id, sent_ns, deadline_ns, begun_ns in told["attempts"]:
-            worker = self._number(worker_id)
-            attempt = Attempt(call, number, worker, worker_id, sent_ns, deadline_ns, 0, None, begun_ns, True)
-            self._register(attempt)
-        self._tell(
-            api.Adopted(
-                self._request(call, call.deadline_ns - now_ns),
-                call.opened_ns,
-                call.sends,
-                worker,
-                sent_ns,
-                begun_ns,
-            )
-        )
-        return call
-
-    def list_told(self) -> None:
-        """Discovery answers a watch: the list that is known is as new as it tells."""
-        self.listed = self.listed or bool(self.worker_numbers)
-
-    def list_failed(self, silent_ns: int, failure: api.ListFailure) -> None:
-        """A call to discovery failed, or its watch has ended, so long after its last good news."""
-        self.counters.add("lists_failed")
-        self._tell(api.Membership(api.ListKind.FAILED, silent_ns=silent_ns, failure=failure))
-
-    def _entry(self, member: Member) -> api.WorkerEntry:
-        """A member in the module's numbers and on its clock; a start before the clock's is long ago."""
-        started_ns = member.up_since_ms * MS - self.epoch_ns if member.up_since_ms else 0
-        return api.WorkerEntry(
-            self.worker_numbers[member.id],
-            member.state,
-            member.cell,
-            self.kinds[member.kind],
-            self.zones[member.zone],
-            max(0, started_ns),
-            member.weight,
-            zlib.crc32(f"{member.id} {member.up_since_ms}".encode()),
-        )
-
     # --- decisions ---
 
     def _tell(self, event: api.Event) -> None:
@@ -390,6 +263,7 @@
             return
         for action in actions:
             self._do(action)
+        self._watch_lease(started_ns)
         self.counters.add("steps")
         self.counters.peak("longest_step_ms", (time.monotonic_ns() - started_ns) / 1e6)
 
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -44,6 +44,8 @@
             self.index.touched[getattr(event, "worker", 0)] = None
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
+        if any(type(event) in (Membership, Banned) for event in events):  # once for all changes of a step
+            self._sort()
         if first and self.settings.asks_list:
             self._ask_in(self.backoff.initial_delay_ns(now_ns) if self.ready else 0)
         self._tidy(any(not isinstance(event, AttemptNote) for event in events))
@@ -55,11 +57,14 @@
         self.planner.retune(self.now_ns, told.room, told.dispatchers, told.queue_in_order)
         self.running.know((each.aim_ns for each in told.classes), (each.offered for each in told.classes))
         self.rule = self._cold_rule(told)
-        self.backoff.dispatchers, self.backoff.near = told.dispatchers, told.list_near
+        self.backoff.dispatchers = told.dispatchers
+        self.backoff.near = self.lease.is_local_agent = told.list_near
 
     def _tidy(self, stirred: bool) -> None:
         """What time alone brings; stirred says that there was more than notes."""
         now = self.now_ns
+        if self.held and not self.lease.granted and not self.backoff.failures and self.ask_ns > now:
+            self.ask_ns = now  # no request waits for the spread of the first asks
         if self.settings.asks_list and 0 <= self.ask_ns <= now:
             self.ask_ns = -1
             self.out.append(Watch())
@@ -87,6 +92,7 @@
     def _place_held(self) -> None:
         """Place held jobs, dearest first, as far as there is room; give up those that can only be late."""
         now, holds = self.now_ns, self.planner.by_job
+        outdated = now >= self.lease.until_ns  # or may be: nothing is sent by the list
         self.index.begin()
         self.cold = len(self.index.cold if now >= self.settings.warm_after_ns else self.ready)
         blocked: dict[tuple[int, float], float] = {}  # least memory of a like job that found no worker
@@ -96,7 +102,7 @@
             if late or (job.risky is not None and not self._may_repeat(job, job.risky)):
                 self._answer(job)
                 continue
-            if now < job.wait_ns:
+            if outdated or now < job.wait_ns:
                 continue
             skip = job.risky is None and need.memory >= blocked.get(like, math.inf)
             if not skip and self._place(job):
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -10,7 +10,7 @@
 from weldquay.ledger.records import Worker
 from weldquay.policy.health import Health
 
-MOST_KEPT = 1000  # jobs remembered for their retries (seconds of overload); workers, those that are gone too
+MAX_DEPARTED = 2048  # workers kept beside the listed: a list that vanishes and returns loses nothing
 
 
 class Members(Health):
@@ -18,13 +18,15 @@
 
     def _follow(self, event: Membership) -> None:
         """Follow the worker list; a failed call is made again with backoff, well within ask_within."""
+        self.lease.apply(self.now_ns, event)
         if event.kind is ListKind.FAILED:
             self._ask_in(self.backoff.retry_delay_ns(
                 self.now_ns, self.settings.ask_within_ns, event.silent_ns, event.failure))
-            return
-        if event.kind is not ListKind.CACHED:  # an ask that is still due would replace a watch that is well
+        if event.kind not in (ListKind.CACHED, ListKind.MOVED, ListKind.FAILED):
             self.backoff.reset()
-            self.ask_ns = -1
+            self.ask_ns = -1  # an ask that is still due would replace a watch that is well
+        if event.kind in (ListKind.CURRENT, ListKind.MOVED, ListKind.FAILED):
+            return
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
             restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
@@ -38,16 +40,16 @@
                 if worker.entry.worker not in named and worker.entry.state is not WorkerState.GONE:
                     worker.entry = replace(worker.entry, state=WorkerState.GONE)
                     self._rescue(worker)
-        self._sort()
 
     def _ask_in(self, wait_ns: int) -> None:
         self.ask_ns = self.now_ns + wait_ns
         self.out += [SetTimer(wait_ns, 3)] * (wait_ns > 0)
 
     def _sort(self) -> None:
-        if len(self.workers) > MOST_KEPT:  # ids that change for years must not add up
-            self.workers = {number: worker for number, worker in self.workers.items()
-                            if worker.live or worker.entry.state is not WorkerState.GONE}
+        departed = [number for number, worker in self.workers.items()
+                    if worker.entry.state is WorkerState.GONE and not worker.live]
+        for number in departed[:-MAX_DEPARTED]:  # ids that change for days must not add up
+            del self.workers[number]
         self.ready = [worker for number, worker in self.workers.items()
                       if worker.entry.state is WorkerState.READY and number not in self.banned]
         at = subset([each.entry.common for each in self.ready], self.settings.me, self.settings.dispatchers)
@@ -62,7 +64,6 @@
             worker.renew(self.now_ns)
             worker.back_ns, worker.probe_out = self.now_ns, self.settings.may_probe
             self.out += [Probe(event.worker)] * worker.probe_out
-        self._sort()
 
     def remember(self) -> dict[int, dict[str, Any]]:
         """What a later process of this dispatcher is to know of each worker."""
