--- a/weldquay/candidates/cells.py
+++ b/weldquay/candidates/cells.py
@@ -12,53 +12,17 @@
 import heapq
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
 
 from weldquay.candidates.floors import Floors
 from weldquay.candidates.group import Key, free_memory
-from weldquay.estimators.runtime import Running
-from weldquay.interface import Settings, WorkerEntry
+from weldquay.candidates.tables import Limits, Tables
+from weldquay.interface import WorkerEntry
 from weldquay.ledger.records import LAPSE_NS, Cell, Job, Worker
-from weldquay.planning.planner import Planner
-
-
-class Tables(Protocol):
-    """What the index reads of the decision module's tables."""
-
-    now_ns: int
-    settings: Settings
-    held: dict[int, Job]
-    workers: dict[int, Worker]
-    ready: list[Worker]
-    home: list[Worker]
-    back: set[int]
-    news: dict[int, Worker]
-    planner: Planner
-    running: Running
-    usual_size: float
 
 
 FEW = 32  # workers up to which all are asked one by one
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Figures of the decision module.
-
-    fresh_ns: age up to which a report is fresh; start_ns: an attempt that has not told its start by then
-    tells of a queue; cover_ns: added on both sides where running times are compared; slow: logarithm of how
-    many times slower than its kind leaves a worker out; doubt: errors above it make a worker unfit for some
-    jobs.
-    """
-
-    fresh_ns: int
-    start_ns: int
-    cover_ns: int
-    slow: float
-    doubt: float
-
-
 class Cells:
     """The workers of one dispatcher, by what decides over them."""
 
--- a/weldquay/policy/draw.py
+++ b/weldquay/policy/draw.py
@@ -9,7 +9,7 @@
 from operator import mul
 
 from weldquay.candidates.group import Group as Candidates, count, rows
-from weldquay.candidates.cells import Limits
+from weldquay.candidates.tables import Limits
 from weldquay.interface import CloseIdle, Effect, Group, Probe, Send, SetTimer
 from weldquay.ledger.records import Attempt, Job, Worker
 from weldquay.planning.planner import Offer, Want
