Pass on with the list's lease what keeps a refusal from prolonging it

Seen: a test of an upgrade while discovery is down. The older process's lease had run out, since discovery had taken a call and brought no news; the newer one inherited the moment only, had its first ask refused, and took that for an outage in which nothing is missed: it sent. Cause: the handover told until when the lease runs, not that news were missed.

Now a typed LeaseState goes along: until when, whether news were missed, whether the watch was silent. From an earlier release none comes, and the newer process waits for discovery.

--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -60,7 +60,7 @@
         lease.fail(BEGIN_NS, SECOND, failure)
         lease.move(BEGIN_NS)
     assert lease.until_ns == 0 and not lease.granted
-    lease.inherit(BEGIN_NS + SECOND)
+    lease.inherit(api.LeaseState(BEGIN_NS + SECOND))
     assert lease.until_ns == BEGIN_NS + SECOND and lease.granted
 
 
--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -9,7 +9,9 @@
 import pytest
 
 from example.toy import Message, Server
-from tests.site import Site, site, until
+from tests.site import Site, reserved, site, until
+from tests.test_handover import newer
+from weldquay.net import program
 from tests.test_list_clock import Failing, Manner, busy, chunk, hurry, mute, reset, revision_then_reset
 from tests.test_discovery_client import HEAD, listed
 
@@ -181,3 +183,34 @@
             assert here.program.counters.counts["list_leases_expired"] == 0
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("has_expired", [False, True])
+def test_a_newer_process_inherits_the_lease_with_the_list(
+    has_expired: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery is down at an upgrade: the list is good for as long as it was at the older process."""
+    monkeypatch.setattr(program, "LIST_S", 0.2)
+
+    async def scenario() -> None:
+        async with site() as here:
+            await until(lambda: here.program.exchange.listed)
+            lease = here.program.exchange.dispatcher.lease
+            address = here.discovery.address
+            here.discovery.stop()
+            down = reserved(address)
+            await until(lambda: here.program.counters.counts["lists_failed"])
+            if has_expired:  # it was reached meanwhile, and brought no news
+                lease.missed, lease.deadline_ns = True, time.monotonic_ns()
+            else:
+                lease.deadline_ns += 10**10  # for the test's time, whatever the machine does
+            until_ns = lease.until_ns
+            async with newer(here) as second:
+                lease = second.exchange.dispatcher.lease
+                assert lease.until_ns >= until_ns and lease.missed == has_expired
+                assert (await here.post(left_ms=300)).status == (503 if has_expired else 200)
+                assert here.workers[0].methods() == ([] if has_expired else ["POST"])
+                assert second.counters.counts["calls"] == 1
+        down.close()
+
+    asyncio.run(scenario())
--- a/weldquay/discovery/list_lease.py
+++ b/weldquay/discovery/list_lease.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from weldquay.interface import ListFailure, ListKind, Membership
+from weldquay.interface import LeaseState, ListFailure, ListKind, Membership
 
 CLOCK_NS = 6_000_000_000  # so long after discovery had a change and could be reached, it counts as reported
 MOVE_NS = 4_000_000_000  # so long after a reload what the agent at the new address has counts as reported
@@ -60,7 +60,7 @@
             case ListKind.FAILED:
                 self.fail(now_ns, event.silent_ns, event.failure)
             case ListKind.CACHED:
-                self.inherit(event.lease_until_ns)
+                self.inherit(event.lease)
             case ListKind.MOVED:
                 self.move(now_ns)
             case _:
@@ -71,9 +71,14 @@
         self.deadline_ns = max(self.deadline_ns, now_ns + CLOCK_NS)
         self.missed = self.silent = False
 
-    def inherit(self, until_ns: int) -> None:
-        """Take over what an earlier process of this dispatcher told of its lease; 0: it had none."""
-        self.deadline_ns = until_ns + MARGIN_NS if until_ns else 0
+    def state(self) -> LeaseState:
+        """What a later process of this dispatcher is to know."""
+        return LeaseState(self.until_ns, self.missed, self.silent)
+
+    def inherit(self, state: LeaseState) -> None:
+        """Take over the lease of an earlier process of this dispatcher."""
+        self.deadline_ns = state.until_ns + MARGIN_NS if state.until_ns else 0
+        self.missed, self.silent = state.missed, state.silent
 
     def move(self, now_ns: int) -> None:
         """Discovery has another address now; nothing of it is known yet."""
--- a/weldquay/interface/__init__.py
+++ b/weldquay/interface/__init__.py
@@ -26,6 +26,8 @@
     ClientGone,
     Ending,
     Event,
+    NO_LEASE,
+    LeaseState,
     ListFailure,
     ListKind,
     LoadReport,
@@ -49,6 +51,7 @@
 )
 
 __all__ = [
+    "NO_LEASE",
     "Action",
     "Adopted",
     "AttemptEnded",
@@ -64,6 +67,7 @@
     "Group",
     "HoldEnded",
     "JobClass",
+    "LeaseState",
     "ListFailure",
     "ListKind",
     "LoadReport",
--- a/weldquay/interface/events.py
+++ b/weldquay/interface/events.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 from typing import Any
 
 from weldquay.interface.settings import Settings
@@ -99,20 +100,34 @@
     common: int = 0
 
 
+class LeaseState(NamedTuple):
+    """What a process passes on of its lease on the list (`weldquay/discovery/list_lease.py`).
+
+    until_ns: no attempt begins by the list from then on; 0: the list may be of any age.  missed, silent: what
+    came since the last news, and keeps a refused call from prolonging the lease.
+    """
+
+    until_ns: int = 0
+    missed: bool = False
+    silent: bool = False
+
+
+NO_LEASE = LeaseState()
+
+
 @dataclass(frozen=True, slots=True)
 class Membership:
     """News of the worker list.
 
     Of a call that failed: silent_ns since its last good news, or since it was made; and how it failed.  Of a
-    cached list: lease_until_ns, until when an earlier process of this dispatcher could act on it; 0: it is of
-    any age.
+    cached list: the lease that an earlier process of this dispatcher had on it.
     """
 
     kind: ListKind
     entries: tuple[WorkerEntry, ...] = ()
     silent_ns: int = 0
     failure: ListFailure = ListFailure.BUSY
-    lease_until_ns: int = 0
+    lease: LeaseState = NO_LEASE
 
 
 @dataclass(frozen=True, slots=True)
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -95,9 +95,7 @@
     sockets: int
     memory_mb: int
     known: MemberList
-    lease_until_ns: (
-        int  # until when an earlier process could act on it, on the monotonic clock; 0: of any age
-    )
+    lease: api.LeaseState  # that an earlier process had on the known list
     document: dict[str, Any]  # as it was read
 
 
@@ -262,7 +260,7 @@
         sockets=_limit(limits, "sockets", 1024, LEAST_SOCKETS),
         memory_mb=_limit(limits, "memory_mb", 192, LEAST_MEMORY_MB),
         known=_known(known),
-        lease_until_ns=0,
+        lease=api.LeaseState(),
         document=document,
     )
 
--- a/weldquay/net/exchange.py
+++ b/weldquay/net/exchange.py
@@ -53,7 +53,7 @@
     def start(self, workers: WorkerSide, discovery: DiscoverySide) -> None:
         """Begin with the list that the configuration holds."""
         self.workers, self.discovery = workers, discovery
-        self.follow(self.config.known, api.ListKind.CACHED, self.config.lease_until_ns)
+        self.follow(self.config.known, api.ListKind.CACHED, self.config.lease)
 
     @property
     def owes(self) -> bool:
--- a/weldquay/net/list_intake.py
+++ b/weldquay/net/list_intake.py
@@ -42,15 +42,15 @@
     @abstractmethod
     def _tell(self, event: api.Event) -> None: ...
 
-    def follow(self, told: MemberList, kind: api.ListKind, lease_until_ns: int = 0) -> None:
-        """Take in the list, or changes of it; lease_until_ns: an earlier process's, of a cached list."""
+    def follow(self, told: MemberList, kind: api.ListKind, lease: api.LeaseState = api.NO_LEASE) -> None:
+        """Take in the list, or changes of it; lease: an earlier process's, of a cached list."""
         self.counters.add(f"lists_{kind.value}")
         self._forget()
         for member in told.members:
             self._number(member.id)
         self.workers.follow(told)
         entries = tuple(self._entry(member) for member in told.members)
-        self._tell(api.Membership(kind, entries, lease_until_ns=lease_until_ns))
+        self._tell(api.Membership(kind, entries, lease=lease))
 
     def _forget(self) -> None:
         """Guard against ids that change for years: what the decisions have forgotten goes here too."""
--- a/weldquay/net/program.py
+++ b/weldquay/net/program.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from weldquay.errors import OperatorError
+from weldquay.interface import LeaseState
 from weldquay.net.server import LINGER_S, ClientServer
 from weldquay.net.calls import Passed
 from weldquay.net.config import Config, ConfigError, reload
@@ -123,7 +124,7 @@
         self.config = replace(
             self.config,
             known=member_list({"revision": revision, "complete": True, "members": lines}),
-            lease_until_ns=min(message.told["lease_until_ns"] for message in self.inherited),
+            lease=LeaseState(*self.inherited[-1].told.get("lease", ())),  # an earlier release tells none
         )
         self.discovery.revision = revision
         self.exchange.config = self.config
@@ -157,7 +158,7 @@
                 "members",
                 revision=self.discovery.revision,
                 discovery=self.discovery.config.discovery,
-                lease_until_ns=self.exchange.list_lease_until_ns,
+                lease=list(self.exchange.dispatcher.lease.state()),
                 members=piece,
             )
         told = {
