Send no repeat elsewhere before the DELETE has reached the first worker

At fault: net/workers.py took a DELETE that failed for one that was answered.

Now a DELETE is tried again, after 0.1 s and then twice as long each time, while its request is open; the repeat waits for it, at the longest until the client's time is up. A refused connection ends the wait: the worker's process is gone, and its job with it. The test fails without the change in both cases.

--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -14,7 +14,7 @@
 from tests.site import ACCEPTED, Site, job, site, until
 from weldquay.net.calls import Passed
 from weldquay.net.outgoing import Connection
-from weldquay.net.workers import Worker
+from weldquay.net.known_worker import Worker
 
 AHEAD = [0, 3_000, 20_000, 100_000, 400_000]  # bytes sent behind the call: within and over each bound
 
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -150,3 +150,44 @@
         drive.step(api.AttemptEnded(1, 0, first.worker, api.Outcome.RESET, MS, False), after=300 * MS)
     )
     assert first.begin_by_ns == 0 and again.begin_by_ns == sent_ns + 900 * MS
+
+
+@pytest.mark.parametrize("refuses", [False, True])
+def test_a_repeat_waits_until_a_delete_has_reached_the_first_worker(refuses: bool) -> None:
+    """The first DELETEs are lost: no second copy until one is answered, or the worker's process is gone."""
+
+    async def scenario() -> None:
+        async with site(workers=2, caps={"probes": False, "may_duplicate": False}) as here:
+            posts, deletes = list[Scripted](), list[float]()
+
+            def play(worker: Scripted) -> None:
+                answer = worker.answer
+
+                async def take(message: Message, writer: asyncio.StreamWriter) -> None:
+                    if message.method == "POST":
+                        posts.append(worker)
+                        if len(posts) == 1:
+                            here.program.exchange.ban(worker.name, True)  # so the repeat goes elsewhere
+                            writer.transport.abort()
+                            return
+                    if message.method == "DELETE" and len(deletes) < 3:
+                        deletes.append(time.monotonic())
+                        writer.transport.abort()
+                        if refuses and len(deletes) == 3:
+                            worker.stop()
+                        return
+                    if message.method == "DELETE":
+                        deletes.append(time.monotonic())
+                    await answer(message, writer)
+
+                worker.answer = take  # type: ignore[method-assign]
+
+            for worker in here.workers:
+                play(worker)
+            call = asyncio.create_task(here.post())
+            await until(lambda: len(deletes) == 3)
+            assert len(posts) == 1 and not call.done()
+            assert (await call).body == b"TEXT" and len(posts) == 2
+            assert len(deletes) == (3 if refuses else 4)
+
+    asyncio.run(scenario())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,7 +11,7 @@
 from weldquay.net import operators, program
 from weldquay.net.persistence import BanList
 from weldquay.net.outgoing import Connection
-from weldquay.net.workers import Worker
+from weldquay.net.known_worker import Worker
 
 
 def test_callers_that_complete_nothing_hold_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,7 +15,8 @@
 from weldquay.policy import members as listed
 from weldquay.net import list_intake, workers
 from weldquay.net.outgoing import Connection
-from weldquay.net.workers import MOST_IDLE, Worker
+from weldquay.net.known_worker import Worker
+from weldquay.net.workers import MOST_IDLE
 
 
 async def hang_up(message: Message, writer: asyncio.StreamWriter) -> None:
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -6,13 +6,14 @@
 import logging
 import time
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from weldquay import interface as api
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.calls import Attempt, Call
 from weldquay.net.exchange import Exchange
+from weldquay.net.known_worker import Worker
 from weldquay.net.messages import Body, Job, Member, MemberList, job_headers, load_in
 from weldquay.net.outgoing import READ_SIZE, Broken, Connection, Moot, NotWritten, Reply
 from weldquay.net.streams import connect
@@ -22,31 +23,16 @@
 
 PROBE_TIMEOUT_S = 1.0  # a worker that stands still must not keep its probe for ever
 GIVE_UP_TIMEOUT_S = 2.0
+GIVE_UP_AGAIN_S = 0.1  # after a DELETE that failed, doubling; while its request is open
 ACCEPT_S = 0.6  # a job is taken or turned away within 50 ms, 250 where its worker pauses; connecting counts
 LATE_ANSWER_S = 2.0  # after a call-back ended its attempt, the 202 may still take this long
 IDLE_PART = 0.8  # a connection idle for this part of its limit is not used again
 MOST_IDLE = 2  # idle connections kept to a worker, the last used
-SLOT_S = (
-    0.2  # a request waits so long for one of the process's connections; with connecting it fits in ACCEPT_S
-)
+SLOT_S = 0.2  # a request waits so long for one of the connections; with connecting it fits in ACCEPT_S
 STALL_S = 0.1  # a time-out that comes so late tells of a stall here, and nothing of the worker
 SWEEP_S = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class Worker:
-    """A match worker as discovery last told of it, with its idle connections, last used last."""
-
-    member: Member
-    banned: bool = False  # by operators
-    idle: list[Connection] = field(default_factory=list)
-
-    @property
-    def host(self) -> str:
-        """The Host header of requests to it."""
-        return f"{self.member.host}:{self.member.port}"
-
-
 class Workers:
     """The match workers; the exchange's WorkerSide."""
 
@@ -117,7 +103,7 @@
             return  # forgotten: it has long gone
         call = attempt.call.id
         told = self.giving_up.setdefault(call, {})
-        told[worker] = task = self.tasks.start(self._delete(worker, call), f"giving up of {call}")
+        told[worker] = task = self.tasks.start(self._delete(worker, attempt.call), f"giving up of {call}")
 
         def done(ended: asyncio.Task[None]) -> None:
             if told.get(worker) is ended:
@@ -229,14 +215,28 @@
             outcome = api.Outcome.REJECTED
         self.exchange.attempt_ended(attempt, outcome, load)
 
-    async def _delete(self, worker: Worker, call: str) -> None:
+    async def _delete(self, worker: Worker, call: Call) -> None:
+        """Tell a worker that nobody waits for its job.
+
+        Guards against a second copy: until the worker has it, the job may be running, so that a repeat which
+        has to wait for this waits on.  A worker that refuses the connection has ended, and its job with it.
+        """
+        wait_s = GIVE_UP_AGAIN_S
+        while not await self._deleted(worker, call.id) and call.open:
+            await asyncio.sleep(wait_s)
+            wait_s *= 2
+
+    async def _deleted(self, worker: Worker, call: str) -> bool:
+        """One DELETE; True where the job is at an end."""
         target, headers = f"/jobs/{call}".encode(), [(b"Host", worker.host.encode())]
         try:
             async with asyncio.timeout(GIVE_UP_TIMEOUT_S):
                 await self._ask(worker, b"DELETE", target, headers)
-            self.counters.add("given_up")
-        except (NotWritten, Broken, TimeoutError):
+        except (NotWritten, Broken, Moot, TimeoutError) as error:
             self.counters.add("give_ups_failed")
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self.counters.add("given_up")
+        return True
 
     async def _probe(self, worker: Worker) -> None:
         started_ns, load = time.monotonic_ns(), None
