Sort the list of workers only where it or a ban has changed

Cause: since the list's lease each empty line of a watch is an event, and `step` sorted for every event of the list's kind, also for one that tells of no change or of a failed call. Every 2 s each dispatcher dealt its subset and listed its candidates anew.

Change: what changes the list or a ban says so (`unsorted`), and the step sorts then; as before at most once a step. Decisions are the same: the sorted list was.

A test counts the sorts, for all three kinds of news without changes.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -119,6 +119,20 @@
     assert {each.entry.worker for each in drive.dispatcher.home} <= set(range(701, 1401))
 
 
+@pytest.mark.parametrize(
+    "kind", [api.ListKind.CURRENT, api.ListKind.MOVED, api.ListKind.FAILED], ids=lambda kind: kind.value
+)
+def test_news_without_changes_cost_no_look_at_the_list(
+    kind: api.ListKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An empty line comes every 2 s: sorting 1,400 workers anew for each took 1.1 ms."""
+    drive = Drive(settings(dispatchers=410, me=409), workers=1400)
+    counted = Mock(side_effect=drive.dispatcher._sort)
+    monkeypatch.setattr(drive.dispatcher, "_sort", counted)
+    drive.step(api.Membership(kind))
+    assert counted.call_count == 0 and len(drive.dispatcher.ready) == 1400
+
+
 def test_more_workers_than_connections_are_all_served() -> None:
     """An idle connection makes room; where none is idle a call waits, and no worker is blamed for it."""
 
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -44,7 +44,7 @@
             self.index.touched[getattr(event, "worker", 0)] = None
             if (take := self.takes.get(type(event))) is not None:
                 take(event)
-        if any(type(event) in (Membership, Banned) for event in events):  # once for all changes of a step
+        if self.unsorted:  # once for all changes of a step
             self._sort()
         if first and self.settings.asks_list:
             self._ask_in(self.backoff.initial_delay_ns(now_ns) if self.ready else 0)
--- a/weldquay/policy/members.py
+++ b/weldquay/policy/members.py
@@ -27,6 +27,7 @@
             self.ask_ns = -1  # an ask that is still due would replace a watch that is well
         if event.kind in (ListKind.CURRENT, ListKind.MOVED, ListKind.FAILED):
             return
+        self.unsorted = True
         for entry in event.entries:
             worker = self.workers.setdefault(entry.worker, Worker(entry))
             restarted, worker.entry = entry.started_ns > worker.entry.started_ns, entry
@@ -46,6 +47,7 @@
         self.out += [SetTimer(wait_ns, 3)] * (wait_ns > 0)
 
     def _sort(self) -> None:
+        self.unsorted = False
         departed = [number for number, worker in self.workers.items()
                     if worker.entry.state is WorkerState.GONE and not worker.live]
         for number in departed[:-MAX_DEPARTED]:  # ids that change for days must not add up
@@ -57,7 +59,7 @@
 
     def _ban(self, event: Banned) -> None:
         """Operators take a worker out, whatever the list says, or put it back: cold, and tried soon."""
-        worker = self.workers.get(event.worker)
+        worker, self.unsorted = self.workers.get(event.worker), True
         (self.banned.add if event.on else self.banned.discard)(event.worker)
         (self.back.discard if event.on else self.back.add)(event.worker)
         if worker is not None and not event.on:
--- a/weldquay/policy/state.py
+++ b/weldquay/policy/state.py
@@ -36,6 +36,7 @@
         self.out: list[Action] = []
         self.ready: list[Worker] = []  # listed ready; those among them that this dispatcher turns to first
         self.home: list[Worker] = []
+        self.unsorted = False  # the list or a ban has changed since ready and home were made
         self.banned: set[int] = set()  # by operators
         self.back: set[int] = set()  # put back by them, and not used since
         self.news: dict[int, Worker] = {}  # that told something lately, in the order of that
