Tell of an empty line in one way, and of requests that wait by one look at the lease

Cause: an answer that begins with an empty line was passed on as an empty list of changes, as there was no event for "nothing has changed" when that was written; since the lease there is. And the message that requests wait looked at the lease's end three times a step, with its state in one expression.

Change: an empty line is `list_current`, the first one too; the message's state is set where it is told.

--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -21,7 +21,7 @@
 from weldquay.net.config import Config
 from weldquay.net.exchange import Exchange
 from weldquay.net.lines import Values
-from weldquay.net.messages import MemberList, MessageError, members, watch_target
+from weldquay.net.messages import MessageError, members, watch_target
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
@@ -210,17 +210,16 @@
         if self.failures:
             log.info("discovery answers again after %d calls that failed", self.failures)
             self.failures = 0
-        first = bool(self.asked)
-        if first:
+        if self.asked:
             self.exchange.counters.peak("longest_list_ms", (time.monotonic() - self.asked) * 1000)
             self.asked = 0.0
-        if value or first:  # nothing has changed: an answer too, which ends the silence
-            told = members(value) if value else MemberList(self.revision, False, ())
-            if told.revision < self.revision and not told.complete:
-                # Guards against changes that are older than the list: they would undo a drain.
-                before, self.revision = self.revision, 0
-                raise MessageError(f"its revision went back from {before} to {told.revision}")
-            self.revision = told.revision
-            self.exchange.follow(told, api.ListKind.FULL if told.complete else api.ListKind.DELTA)
-        else:
+        if not value:
             self.exchange.list_current()
+            return
+        changes = members(value)
+        if changes.revision < self.revision and not changes.complete:
+            # Guards against changes that are older than the list: they would undo a drain.
+            before, self.revision = self.revision, 0
+            raise MessageError(f"its revision went back from {before} to {changes.revision}")
+        self.revision = changes.revision
+        self.exchange.follow(changes, api.ListKind.FULL if changes.complete else api.ListKind.DELTA)
--- a/weldquay/net/list_intake.py
+++ b/weldquay/net/list_intake.py
@@ -108,10 +108,11 @@
 
     def _watch_lease(self, now_ns: int) -> None:
         """Tell operators when requests begin to wait for discovery, and when that is over."""
-        waits = now_ns >= self.list_lease_until_ns and bool(self.calls)
-        if waits and not self.waits_for_list:
+        has_expired = now_ns >= self.list_lease_until_ns
+        if has_expired and self.calls and not self.waits_for_list:
+            self.waits_for_list = True
             self.counters.add("list_leases_expired")
             log.warning("requests wait: the list of workers may be out of date until discovery answers")
-        elif self.waits_for_list and now_ns < self.list_lease_until_ns:
+        elif self.waits_for_list and not has_expired:
+            self.waits_for_list = False
             log.info("the list of workers is up to date again")
-        self.waits_for_list = now_ns >= self.list_lease_until_ns and (waits or self.waits_for_list)
