End a process, hold a stopped server's port and cut a first attempt in one place each

Cause: the scale run ended its children with the lines that the loopback site has for its nodes; the tests' `reserved` was `lab.site.reserve` for a given address; two tests of repeats and two of lingering closes had the same script.

Change: `lab.site.ended`, `reserve(address)`, `cut_first_attempt` and `lingering` serve all. The hollow dispatcher calls a refused connection REFUSED, as the real one does (the waits are the same), and two names of the scale run say what they hold.

--- a/tests/site.py
+++ b/tests/site.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -91,15 +90,6 @@
         return int(answer.start.split()[1])
 
 
-def reserved(address: str) -> socket.socket:
-    """A socket bound to a server's former address: it refuses connections, and keeps the port."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    host, port = address.split(":")
-    sock.bind((host, int(port)))
-    return sock
-
-
 async def until(look: Callable[[], Any]) -> Any:
     """Wait until a look finds something, and return it."""
     while not (found := look()):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from example.toy import request, write_message
-from tests.site import Scripted, document, job, reserved
+from tests.site import Scripted, document, job
 from tests.test_list_clock import Failing, revision_then_reset
+from weldquay.lab.site import reserve
 from weldquay.limits import LEAST_SOCKETS
 
 CROWD = LEAST_SOCKETS + 60  # more than there are descriptors
@@ -76,7 +77,7 @@
                 await addresses(process)
                 assert (await request(listen, job("c0"))).body == b"TEXT"  # by the list that it was told
                 failing.stop()
-                down = reserved(address)
+                down, _ = reserve(address)
                 host, number = listen.split(":")
                 for _ in range(CROWD):
                     crowd.append(socket.create_connection((host, int(number))))
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from example.toy import Message
 from tests.helpers import MS, SECOND, Drive, finals, job_class, sends, settings
-from tests.site import Scripted, site, until
+from tests.site import Scripted, Site, site, until
 from weldquay import interface as api
 
 KEYED: list[dict[str, Any]] = [
@@ -86,32 +87,48 @@
     asyncio.run(scenario())
 
 
+OnDelete = Callable[[Scripted, asyncio.StreamWriter], Awaitable[bool]]
+
+
+def cut_first_attempt(here: Site, on_delete: OnDelete) -> list[Scripted]:
+    """Have the first POST end in a reset and the repeat go elsewhere; who got a POST, as they come.
+
+    on_delete: what becomes of a DELETE; True where the worker answers it.
+    """
+    posts = list[Scripted]()
+
+    def play(worker: Scripted) -> None:
+        answer = worker.answer
+
+        async def take(message: Message, writer: asyncio.StreamWriter) -> None:
+            if message.method == "POST":
+                posts.append(worker)
+                if len(posts) == 1:
+                    here.program.exchange.ban(worker.name, True)  # so the repeat goes elsewhere
+                    writer.transport.abort()
+                    return
+            if message.method != "DELETE" or await on_delete(worker, writer):
+                await answer(message, writer)
+
+        worker.answer = take  # type: ignore[method-assign]
+
+    for worker in here.workers:
+        play(worker)
+    return posts
+
+
 @pytest.mark.parametrize("several", [False, True])
 def test_a_repeat_elsewhere_waits_for_the_delete_where_no_second_copy_is_allowed(several: bool) -> None:
     """A reset took back the first worker's 202: its job runs on until the DELETE has come."""
 
     async def scenario() -> None:
         async with site(workers=2, caps={"probes": False, "may_duplicate": several}) as here:
-            gate, posts = asyncio.Event(), list[Scripted]()
-
-            def play(worker: Scripted) -> None:
-                answer = worker.answer
-
-                async def take(message: Message, writer: asyncio.StreamWriter) -> None:
-                    if message.method == "POST":
-                        posts.append(worker)
-                        if len(posts) == 1:
-                            here.program.exchange.ban(worker.name, True)  # so the repeat goes elsewhere
-                            writer.transport.abort()
-                            return
-                    if message.method == "DELETE":
-                        await gate.wait()
-                    await answer(message, writer)
-
-                worker.answer = take  # type: ignore[method-assign]
-
-            for worker in here.workers:
-                play(worker)
+            gate = asyncio.Event()
+
+            async def wait(worker: Scripted, writer: asyncio.StreamWriter) -> bool:
+                return await gate.wait()
+
+            posts = cut_first_attempt(here, wait)
             call = asyncio.create_task(here.post())
             await until(
                 lambda: call.done() or any(each.sends == 2 for each in here.program.exchange.calls.values())
@@ -158,32 +175,18 @@
 
     async def scenario() -> None:
         async with site(workers=2, caps={"probes": False, "may_duplicate": False}) as here:
-            posts, deletes = list[Scripted](), list[float]()
-
-            def play(worker: Scripted) -> None:
-                answer = worker.answer
-
-                async def take(message: Message, writer: asyncio.StreamWriter) -> None:
-                    if message.method == "POST":
-                        posts.append(worker)
-                        if len(posts) == 1:
-                            here.program.exchange.ban(worker.name, True)  # so the repeat goes elsewhere
-                            writer.transport.abort()
-                            return
-                    if message.method == "DELETE" and len(deletes) < 3:
-                        deletes.append(time.monotonic())
-                        writer.transport.abort()
-                        if refuses and len(deletes) == 3:
-                            worker.stop()
-                        return
-                    if message.method == "DELETE":
-                        deletes.append(time.monotonic())
-                    await answer(message, writer)
-
-                worker.answer = take  # type: ignore[method-assign]
-
-            for worker in here.workers:
-                play(worker)
+            deletes = list[Scripted]()
+
+            async def lose(worker: Scripted, writer: asyncio.StreamWriter) -> bool:
+                deletes.append(worker)
+                if len(deletes) > 3:
+                    return True
+                writer.transport.abort()
+                if refuses and len(deletes) == 3:
+                    worker.stop()
+                return False
+
+            posts = cut_first_attempt(here, lose)
             call = asyncio.create_task(here.post())
             await until(lambda: len(deletes) == 3)
             assert len(posts) == 1 and not call.done()
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -61,6 +61,17 @@
     return sock, connection
 
 
+async def lingering(here: Site) -> socket.socket:
+    """A client that takes in little at a time, while the close behind its large answer lingers."""
+    large_results(here)
+    sock = small(here)
+    connection = await accepted(here, sock)
+    here.program.server.closing = True
+    sock.send(job())
+    await until(lambda: connection.is_lingering)
+    return sock
+
+
 async def taken(sock: socket.socket, pause_s: float = 0.0) -> bytes:
     """All that comes until the end of the connection, a piece at a time; a reset is an error."""
     got, loop = b"", asyncio.get_running_loop()
@@ -76,12 +87,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            large_results(here)
-            sock = small(here)
-            connection = await accepted(here, sock)
-            here.program.server.closing = True
-            sock.send(job())
-            await until(lambda: connection.is_lingering)
+            sock = await lingering(here)
             sock.send(behind)
             got = await taken(sock)
             assert got.startswith(b"HTTP/1.1 200") and got.endswith(BIG.encode()[-100:])
@@ -123,12 +129,7 @@
 
     async def scenario() -> None:
         async with site() as here:
-            large_results(here)
-            sock = small(here)
-            connection = await accepted(here, sock)
-            here.program.server.closing = True
-            sock.send(job())
-            await until(lambda: connection.is_lingering)
+            sock = await lingering(here)
             await until(lambda: not here.program.server.connections)
             sock.close()
 
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -14,8 +14,9 @@
 
 from example.toy import Message, Server
 from tests.helpers import SECOND
-from tests.site import Site, reserved, site, until
+from tests.site import Site, site, until
 from tests.test_discovery_client import HEAD, listed
+from weldquay.lab.site import reserve
 from weldquay import interface as api
 from weldquay.discovery import backoff as backoff_module, list_lease
 from weldquay.discovery.backoff import Backoff
@@ -252,7 +253,7 @@
             failing.address_told = here.workers[0].address
             address = failing.address
             failing.stop()
-            down = reserved(address)
+            down, _ = reserve(address)
             here.program.discovery.watch()
             await until(lambda: here.program.counters.counts["lists_failed"] >= 4)
             await failing.start_on(down)
--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -9,8 +9,9 @@
 import pytest
 
 from example.toy import Message, Server
-from tests.site import Site, reserved, site, until
+from tests.site import Site, site, until
 from tests.test_handover import newer
+from weldquay.lab.site import reserve
 from weldquay.net import program
 from tests.test_list_clock import Failing, Manner, busy, chunk, hurry, mute, reset, revision_then_reset
 from tests.test_discovery_client import HEAD, listed
@@ -198,7 +199,7 @@
             lease = here.program.exchange.dispatcher.lease
             address = here.discovery.address
             here.discovery.stop()
-            down = reserved(address)
+            down, _ = reserve(address)
             await until(lambda: here.program.counters.counts["lists_failed"])
             if has_expired:  # it was reached meanwhile, and brought no news
                 lease.missed, lease.deadline_ns = True, time.monotonic_ns()
--- a/weldquay/lab/scale/decisions.py
+++ b/weldquay/lab/scale/decisions.py
@@ -84,11 +84,11 @@
         change_us, list_us = _list_cost(timed, workers, run.now_ns)
         cost.change_us.append(change_us)
         cost.list_us.append(list_us)
-        cost.told_us.append(_told_cost(told, workers, seed))
+        cost.told_us.append(_worst_cost(told, workers, seed))
     return cost
 
 
-def _told_cost(told: api.Settings, workers: int, seed: int) -> float:
+def _worst_cost(told: api.Settings, workers: int, seed: int) -> float:
     """The steps of one request where all workers have just reported: the median of some requests."""
     timed, now_ns, found = Timed(Dispatcher(told, seed)), 1000 * model.SECOND, []
     timed.step(now_ns, [api.Membership(api.ListKind.FULL, _entries(workers))])
--- a/weldquay/lab/scale/fleet.py
+++ b/weldquay/lab/scale/fleet.py
@@ -20,6 +20,7 @@
 from weldquay.lab.scale import proc
 from weldquay.lab.scale.child import LINE
 from weldquay.lab.scale.points import Point
+from weldquay.lab.site import ended
 
 START_S, END_S = 30.0, 25.0
 MEMORY_PART = 0.5  # of the machine's memory: a run that comes to it is ended
@@ -64,12 +65,7 @@
         """Have it end; by force where it does not."""
         assert self.process.stdin is not None
         self.process.stdin.close()
-        try:
-            async with asyncio.timeout(END_S):
-                await self.process.wait()
-        except TimeoutError:
-            self.process.kill()
-            await self.process.wait()
+        await ended(self.process, END_S)
 
 
 @contextlib.asynccontextmanager
--- a/weldquay/lab/scale/hollow.py
+++ b/weldquay/lab/scale/hollow.py
@@ -88,7 +88,7 @@
             try:
                 await self._follow()
             except ConnectionRefusedError:
-                failure = ListFailure.UNREACHED
+                failure = ListFailure.REFUSED
             except (OSError, asyncio.IncompleteReadError):  # a TimeoutError is an OSError
                 pass
             now_ns = time.monotonic_ns()
--- a/weldquay/lab/scale/page.py
+++ b/weldquay/lab/scale/page.py
@@ -82,8 +82,8 @@
             f"{told.python} | {told.load_before:.1f} | {told.seconds:.0f} s",
             [],
         ).append(name)
-    for told_row, names in seen.items():
-        rows.append([", ".join(names), told_row])
+    for stamp, names in seen.items():
+        rows.append([", ".join(names), stamp])
     table = _table(("part", "command", "commit", "machine", "its load before", "took"), rows)
     if not result.points:
         return table
--- a/weldquay/lab/site.py
+++ b/weldquay/lab/site.py
@@ -29,15 +29,29 @@
 GRACE_S = 1.0  # how much longer than its patience a client's socket waits
 
 
-def reserve() -> tuple[socket.socket, str]:
-    """An address that nobody else gets while the socket is open; it is bound and does not listen."""
+def reserve(address: str = "127.0.0.1:0") -> tuple[socket.socket, str]:
+    """An address that nobody else gets while the socket is open; it is bound and does not listen.
+
+    address: HOST:PORT, as of a server that was stopped; port 0 is one that the system chooses.
+    """
+    host, port = address.split(":")
     held = socket.socket()
     held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    held.bind(("127.0.0.1", 0))
+    held.bind((host, int(port)))
     return held, "{}:{}".format(*held.getsockname())
 
 
+async def ended(process: asyncio.subprocess.Process, within_s: float) -> None:
+    """Wait for a process that was told to end; by force where it does not."""
+    try:
+        async with asyncio.timeout(within_s):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+
+
 @dataclass(slots=True)
 class Node:
     """A dispatcher process."""
@@ -73,12 +87,7 @@
         if self.process is None or self.process.returncode is not None:
             return
         self.process.send_signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(END_S):
-                await self.process.wait()
-        except TimeoutError:
-            self.process.kill()
-            await self.process.wait()
+        await ended(self.process, END_S)
         for line in (self.folder / "log").read_text().splitlines():
             _, found, told = line.partition(" counters {")
             if found:
