--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,7 +16,7 @@
 from weldquay.net import list_intake, workers
 from weldquay.net.outgoing import Connection
 from weldquay.net.known_worker import Worker
-from weldquay.net.workers import MOST_IDLE
+from weldquay.net.workers import MAX_IDLE
 
 
 async def hang_up(message: Message, writer: asyncio.StreamWriter) -> None:
@@ -359,7 +359,7 @@
             worker.script = once
             for number in range(6):
                 assert (await here.post(f"c{number}", "/import")).body == b"ok"
-            assert len(next(iter(here.program.workers.known.values())).idle) <= MOST_IDLE
+            assert len(next(iter(here.program.workers.known.values())).idle) <= MAX_IDLE
 
     play(scenario())
 
--- a/weldquay/lab/scale/counts.py
+++ b/weldquay/lab/scale/counts.py
@@ -13,7 +13,7 @@
 from weldquay.lab.http import Message, Pool
 
 HOLLOW_NET = "127.1."
-MOST_IDLE = 2  # connections kept to one address, as a dispatcher keeps them to a worker
+MAX_IDLE = 2  # connections kept to one address, as a dispatcher keeps them to a worker
 
 
 def hollow_address(number: int) -> str:
@@ -91,6 +91,6 @@
         self.tally.note(self.side, name, len(data))
         answer = await super().ask(data)
         self.tally.more(self.side, name, size_of(answer))
-        while len(self.idle) > MOST_IDLE:
+        while len(self.idle) > MAX_IDLE:
             self.idle.pop(0)[1].transport.abort()
         return answer
--- a/weldquay/net/workers.py
+++ b/weldquay/net/workers.py
@@ -27,7 +27,7 @@
 ACCEPT_S = 0.6  # a job is taken or turned away within 50 ms, 250 where its worker pauses; connecting counts
 LATE_ANSWER_S = 2.0  # after a call-back ended its attempt, the 202 may still take this long
 IDLE_PART = 0.8  # a connection idle for this part of its limit is not used again
-MOST_IDLE = 2  # idle connections kept to a worker, the last used
+MAX_IDLE = 2  # idle connections kept to a worker, the last used
 SLOT_S = 0.2  # a request waits so long for one of the connections; with connecting it fits in ACCEPT_S
 STALL_S = 0.1  # a time-out that comes so late tells of a stall here, and nothing of the worker
 SWEEP_S = 1.0
@@ -284,7 +284,7 @@
             if reused:
                 worker.idle.append(connection)
                 self.idle[connection] = worker
-                if len(worker.idle) > MOST_IDLE:
+                if len(worker.idle) > MAX_IDLE:
                     self._drop(worker.idle[0])
                 self._freed()
             return reply
