Count failed polls of discovery by kind, and name the kinds in the log

An outage could not be told from a busy discovery, a partition or a silent watch by the counters: all kinds were added up. Now each kind has a counter, and the line that ends an outage names them ("... after 2 failed polls: closed 1, busy 1"). Needed to find out which failures extend the endpoint list's lease in an outage.

--- a/tests/test_counter_names.py
+++ b/tests/test_counter_names.py
@@ -9,6 +9,7 @@
 from weldquay.net.connection_table import EVICTION_COUNTERS
 from weldquay.net.counter_names import (
     ATTEMPT_COUNTERS,
+    DISCOVERY_FAILURE_COUNTERS,
     LIST_COUNTERS,
     PROBE_COUNTERS,
     RESERVATION_COUNTERS,
@@ -55,6 +56,19 @@
     ]
 
 
+def test_failures_of_discovery() -> None:
+    """Each kind of failure of a poll or a watch."""
+    assert set(DISCOVERY_FAILURE_COUNTERS) == set(api.DiscoveryFailure)
+    assert sorted(DISCOVERY_FAILURE_COUNTERS.values()) == [
+        "discovery_connect_timeouts",
+        "discovery_polls_busy",
+        "discovery_polls_refused",
+        "discovery_polls_unanswered",
+        "discovery_watches_closed",
+        "discovery_watches_silent",
+    ]
+
+
 def test_reservations() -> None:
     """Each reason that a reservation ends for."""
     reasons = {reason.value for reason in ReservationEndReason}
--- a/weldquay/net/counter_names.py
+++ b/weldquay/net/counter_names.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from weldquay.interface import EndpointListKind, Outcome
+from weldquay.interface import DiscoveryFailure, EndpointListKind, Outcome
 
 ATTEMPT_COUNTERS: dict[Outcome, str] = {
     Outcome.OK: "attempts_ok",
@@ -42,6 +42,15 @@
     EndpointListKind.FAILED: "discovery_failures",
 }
 
+DISCOVERY_FAILURE_COUNTERS: dict[DiscoveryFailure, str] = {
+    DiscoveryFailure.REFUSED: "discovery_polls_refused",
+    DiscoveryFailure.CONNECT_TIMEOUT: "discovery_connect_timeouts",
+    DiscoveryFailure.CLOSED: "discovery_watches_closed",
+    DiscoveryFailure.HEARTBEAT_TIMEOUT: "discovery_watches_silent",
+    DiscoveryFailure.RESPONSE_TIMEOUT: "discovery_polls_unanswered",
+    DiscoveryFailure.BUSY: "discovery_polls_busy",
+}
+
 RESERVATION_COUNTERS: dict[str, str] = {
     "placed": "reservations_placed",
     "queued": "reservations_queued",
--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -14,6 +14,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 
 import h11
 
@@ -81,7 +82,7 @@
         self._counters = coordinator.counters
         self._tasks = Tasks()
         self._watch_task: asyncio.Task[None] | None = None
-        self._consecutive_failures = 0
+        self._outage: Counter[str] = Counter()  # failures in a row, by kind
         # The state of the current poll; times in s of the monotonic clock.
         self._polled_at = 0.0
         self._has_response = False  # a response head with status 200 has arrived
@@ -120,20 +121,20 @@
             await self._receive_values()
         except (OSError, h11.RemoteProtocolError, OperatorError) as error:
             failure = self._classify(error)
-            self._log_failure(error)
+            self._log_failure(error, failure)
         since_update_s = time.monotonic() - self._last_complete_at
         self._endpoint_list.on_failure(int(since_update_s * 1e9), failure)
 
-    def _log_failure(self, error: Exception) -> None:
+    def _log_failure(self, error: Exception, failure: api.DiscoveryFailure) -> None:
         """Count a failure; only the first one in a row is logged."""
         if isinstance(error, DiscoveryTimeout):
             self._counters.add(
                 "discovery_heartbeat_timeouts" if error.has_response else "discovery_response_timeouts"
             )
-        if not self._consecutive_failures:
+        if not self._outage:
             text = error.advice() if isinstance(error, OperatorError) else str(error)
             log.warning("discovery watch failed, retrying: %s", text or type(error).__name__)
-        self._consecutive_failures += 1
+        self._outage[failure.value] += 1
 
     def _classify(self, error: Exception) -> api.DiscoveryFailure:
         """The kind of failure of a poll or a watch, for the decision module."""
@@ -245,9 +246,10 @@
 
         Raises MessageError if it is invalid, or older than the known list: that would undo a drain.
         """
-        if self._consecutive_failures:
-            log.info("discovery responds again after %d failed polls", self._consecutive_failures)
-            self._consecutive_failures = 0
+        if self._outage:
+            kinds = ", ".join(f"{kind} {count}" for kind, count in self._outage.items())
+            log.info("discovery responds again after %d failed polls: %s", self._outage.total(), kinds)
+            self._outage.clear()
         if not self._has_value:
             self._counters.peak("longest_discovery_response_ms", (time.monotonic() - self._polled_at) * 1000)
             self._has_value = True
--- a/weldquay/net/endpoint_list_adapter.py
+++ b/weldquay/net/endpoint_list_adapter.py
@@ -12,7 +12,7 @@
 
 from weldquay import interface as api
 from weldquay.net.config import Config, numbered
-from weldquay.net.counter_names import LIST_COUNTERS
+from weldquay.net.counter_names import DISCOVERY_FAILURE_COUNTERS, LIST_COUNTERS
 from weldquay.net.counters import Counters
 from weldquay.net.event_queue import EventQueue
 from weldquay.net.messages import Endpoint, EndpointList
@@ -79,6 +79,7 @@
         since_update_ns: the time since the last complete value from discovery, or since the poll (ns).
         """
         self._counters.add(LIST_COUNTERS[api.EndpointListKind.FAILED])
+        self._counters.add(DISCOVERY_FAILURE_COUNTERS[failure])
         self._events.enqueue(
             api.EndpointListUpdate(
                 api.EndpointListKind.FAILED, since_update_ns=since_update_ns, failure=failure
