Extend the list's lease only while discovery is seen to stay unreachable

Callers saw: discovery refused connections, came up for a moment in which it listed a worker as draining, and was down again. Jobs went to that worker until the outage ended, in place of 6 s.

Cause: a refused poll extended the endpoint list's lease by 6 s as if discovery had been down since the poll before, and polls are up to 3.6 s apart. A busy discovery after such an outage extended it by 13 s more.

Change: while polls fail, net/reachability_sampler.py attempts a connection each 75 ms (1.3 KB/s). The lease follows these observations: a gap of over 0.5 s, or a connection that came up, and nothing extends it until the next update. An error on an accepted connection (UNAVAILABLE, was REFUSED) extends it only where no connection was refused before. Hot restart and reload hand the observation on.

--- a/tests/test_counter_names.py
+++ b/tests/test_counter_names.py
@@ -64,6 +64,7 @@
         "discovery_polls_busy",
         "discovery_polls_refused",
         "discovery_polls_unanswered",
+        "discovery_polls_unavailable",
         "discovery_watches_closed",
         "discovery_watches_silent",
     ]
--- a/weldquay/discovery/list_lease.py
+++ b/weldquay/discovery/list_lease.py
@@ -5,12 +5,16 @@
 lease, and no attempt is sent after its expiry:
 
 - A complete line of an open watch proves that all earlier changes have come.  The lease runs from the line.
-- A poll that is refused proves that discovery was unreachable then.  The lease runs from the poll, unless an
-  earlier poll reached discovery and got no update, since that update may be lost.
-- A connection that times out proves the same, also after a watch fell silent: one network fault explains
-  both.
-- A poll that discovery ends after a wait, behind a watch that was closed, shows an outage that goes on, since
-  discovery closes its watches when it goes down.  The lease runs until the next poll has had time to end.
+- While discovery refuses connections it reports nothing.  Connection attempts at short intervals show this
+  for the time between two polls.  The lease runs from the last attempt that failed, unless discovery was not
+  observed for MAX_UNOBSERVED_NS since the last proof.
+- A connection that is established after others failed shows that discovery was back, if only for a moment.
+  A change may have come then, so nothing extends the lease until the next update.
+- A connection that times out shows the same as a refused one, also after a watch fell silent: one network
+  fault explains both.
+- Where discovery accepts connections throughout an outage, a poll that it ends with an error, behind a watch
+  that was closed, shows an outage that goes on, since discovery closes its watches when it goes down.  After
+  an error at once the lease runs from the poll; after a late one, until the next poll has had time to end.
 - A poll that was accepted and not answered proves nothing.  The lease does not change.
 
 A list that neither this process nor an earlier one of this dispatcher has confirmed may be of any age.  It
@@ -26,10 +30,16 @@
 MAX_STALENESS_NS = 6_000_000_000
 MAX_LOCAL_STALENESS_NS = 4_000_000_000  # of a local agent's list after a change of the agent's address
 BUSY_LEASE_NS = 13_000_000_000  # time in which the next poll ends: 10 s of delay, 2.4 s of waiting, a margin
+MAX_UNOBSERVED_NS = 500_000_000  # a time in which discovery is reachable and this process does not notice it
 SEND_MARGIN_NS = 200_000_000  # from the check of the lease to the first byte of an attempt
 
 NO_EXPIRY_NS = 2**63 - 1
-UNREACHABLE_FAILURES = (DiscoveryFailure.REFUSED, DiscoveryFailure.CONNECT_TIMEOUT)
+# Discovery had nothing to report at the start of the poll, so that later changes have the whole time.
+UNREACHABLE_FAILURES = (
+    DiscoveryFailure.REFUSED,
+    DiscoveryFailure.CONNECT_TIMEOUT,
+    DiscoveryFailure.UNAVAILABLE,
+)
 
 
 class ListLease:
@@ -43,8 +53,14 @@
         """Start without a lease."""
         self.is_local_agent = is_local_agent
         self.expiry_ns = 0  # when a change that may have been missed counts as reported; 0: no lease
-        self.poll_missed = False  # since the last update a poll reached discovery and got none
+        # Since the last update discovery was reached, or may have been, and sent none: no extension.
+        self.poll_missed = False
         self.watch_silent = False  # the watch fell silent, and no connection has timed out since
+        self.proven_ns = 0  # no change up to then has been missed
+        self.silent_until_ns = 0  # since the watch fell silent discovery was unreachable, up to then
+        self.is_watching = False  # the last event was an update
+        self.was_reachable = False  # a connection was accepted since proven_ns
+        self.was_unreachable = False  # a connection was refused or timed out since the last update
 
     @property
     def granted(self) -> bool:
@@ -70,9 +86,17 @@
 
     def confirm(self, now_ns: int) -> None:
         """Extend the lease after a complete line, which shows that no change was missed."""
-        self.expiry_ns = max(self.expiry_ns, now_ns + MAX_STALENESS_NS)
         self.poll_missed = False
         self.watch_silent = False
+        self.was_reachable = False
+        self.was_unreachable = False
+        self.is_watching = True
+        self._prove(now_ns)
+
+    def _prove(self, until_ns: int) -> None:
+        """Record that no change up to a moment was missed, and extend the lease from it."""
+        self.proven_ns = max(self.proven_ns, until_ns)
+        self.expiry_ns = max(self.expiry_ns, until_ns + MAX_STALENESS_NS)
 
     def state(self) -> LeaseState:
         """Return the state to be handed to a later process of this dispatcher."""
@@ -81,11 +105,14 @@
     def inherit(self, state: LeaseState) -> None:
         """Restore the state of an earlier process of this dispatcher."""
         self.expiry_ns = state.until_ns + SEND_MARGIN_NS if state.until_ns else 0
+        self.proven_ns = max(0, self.expiry_ns - MAX_STALENESS_NS)
         self.poll_missed = state.missed
         self.watch_silent = state.silent
 
     def move(self, now_ns: int) -> None:
         """Limit the lease after a change of discovery's address."""
+        if self.is_watching:
+            self._end_watch(now_ns)
         if self.granted:
             staleness_ns = MAX_LOCAL_STALENESS_NS if self.is_local_agent else MAX_STALENESS_NS
             self.expiry_ns = min(self.expiry_ns, now_ns + staleness_ns)
@@ -99,18 +126,69 @@
             return
         begun_ns = now_ns - since_update_ns
         if self.is_local_agent:
-            self.expiry_ns = max(self.expiry_ns, begun_ns + MAX_STALENESS_NS)
-        elif failure is DiscoveryFailure.HEARTBEAT_TIMEOUT:
-            self.watch_silent = True
-        elif failure is DiscoveryFailure.RESPONSE_TIMEOUT:
+            self._prove(begun_ns)
+            return
+        match failure:
+            case DiscoveryFailure.CLOSED:
+                self._end_watch(now_ns)
+            case DiscoveryFailure.HEARTBEAT_TIMEOUT:
+                self.is_watching = False
+                self.watch_silent = True
+                self.silent_until_ns = 0
+            case DiscoveryFailure.RESPONSE_TIMEOUT:
+                self.poll_missed = True
+            case DiscoveryFailure.REFUSED:
+                self._extend_by_outage(begun_ns, begun_ns)
+            case DiscoveryFailure.CONNECT_TIMEOUT:
+                self._explain_silence(begun_ns)
+                self._extend_by_outage(begun_ns, begun_ns)
+            case DiscoveryFailure.UNAVAILABLE:
+                self._extend_by_error(now_ns, begun_ns + MAX_STALENESS_NS)
+            case DiscoveryFailure.BUSY:
+                self._extend_by_error(now_ns, now_ns + BUSY_LEASE_NS)
+
+    def observe(self, from_ns: int, until_ns: int, is_reachable: bool) -> None:
+        """Apply the result of connection attempts between two polls; see `DiscoveryObservation`."""
+        if not self.granted or self.is_local_agent:
+            return
+        if not is_reachable:
+            self._extend_by_outage(from_ns, until_ns)
+        elif self.was_unreachable:
+            self.poll_missed = True
+        else:
+            self.was_reachable = True
+
+    def _end_watch(self, now_ns: int) -> None:
+        """Record that a watch has delivered all changes up to its end."""
+        self.is_watching = False
+        self.proven_ns = max(self.proven_ns, now_ns)
+
+    def _explain_silence(self, begun_ns: int) -> None:
+        """Take a connection that timed out and the silence of the watch before it for one network fault."""
+        if self.watch_silent and not self.was_reachable:
+            self.watch_silent = False
+            self.proven_ns = max(self.proven_ns, begun_ns, self.silent_until_ns)
+
+    def _extend_by_outage(self, from_ns: int, until_ns: int) -> None:
+        """Extend the lease where discovery was unreachable from the last proof until a moment."""
+        self.was_unreachable = True
+        if self.watch_silent:
+            self.silent_until_ns = until_ns
+        elif self.poll_missed:
+            return
+        elif self.was_reachable or from_ns - self.proven_ns > MAX_UNOBSERVED_NS:
             self.poll_missed = True
-        elif failure is not DiscoveryFailure.CLOSED and not self.poll_missed:
-            if failure is DiscoveryFailure.CONNECT_TIMEOUT:
-                self.watch_silent = False
-            if not self.watch_silent:
-                is_busy = failure is DiscoveryFailure.BUSY
-                expiry_ns = now_ns + BUSY_LEASE_NS if is_busy else begun_ns + MAX_STALENESS_NS
-                self.expiry_ns = max(self.expiry_ns, expiry_ns)
+        else:
+            self._prove(until_ns)
+
+    def _extend_by_error(self, now_ns: int, expiry_ns: int) -> None:
+        """Extend the lease after a poll that discovery accepted and ended with an error."""
+        if self.was_unreachable:
+            self.poll_missed = True  # it is back
+        elif not self.watch_silent and not self.poll_missed:
+            self.was_reachable = False
+            self.proven_ns = max(self.proven_ns, now_ns)
+            self.expiry_ns = max(self.expiry_ns, expiry_ns)
 
 
 class EndlessLease(ListLease):
--- a/weldquay/interface/events.py
+++ b/weldquay/interface/events.py
@@ -64,13 +64,15 @@
 class DiscoveryFailure(Enum):
     """How a poll of discovery, or its watch, failed.
 
-    REFUSED: at once, by a refused or reset connection or a 503: discovery is down. CONNECT_TIMEOUT: no
-    connection was established. CLOSED: an open watch ended. HEARTBEAT_TIMEOUT: an open watch sent nothing,
-    not even an empty line. RESPONSE_TIMEOUT: discovery accepted the request and sent no update, or an invalid
-    one. BUSY: it failed after a wait in discovery's queue; also where the cause is unknown.
+    REFUSED: no connection was established, and the attempt failed at once. CONNECT_TIMEOUT: no connection was
+    established in time. UNAVAILABLE: a connection was established, and reset or answered 503 at once. CLOSED:
+    an open watch ended. HEARTBEAT_TIMEOUT: an open watch sent nothing, not even an empty line.
+    RESPONSE_TIMEOUT: discovery accepted the request and sent no update, or an invalid one. BUSY: it failed
+    after a wait in discovery's queue; also where the cause is unknown.
     """
 
     REFUSED = "refused"
+    UNAVAILABLE = "unavailable"
     CONNECT_TIMEOUT = "connect_timeout"
     CLOSED = "closed"
     HEARTBEAT_TIMEOUT = "heartbeat_timeout"
@@ -160,6 +162,22 @@
     lease: LeaseState = NO_LEASE
 
 
+@dataclass(frozen=True, slots=True)
+class DiscoveryObservation:
+    """What connection attempts to discovery have shown since the last poll of it.
+
+    Attributes:
+        from_ns: start of the time that was observed, on the clock of the steps.
+        until_ns: its end.
+        is_reachable: True: discovery was reachable then, or may have been. False: it was unreachable
+            throughout that time.
+    """
+
+    from_ns: int
+    until_ns: int
+    is_reachable: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
     """A client's request, to which the dispatcher owes one final answer.
@@ -363,6 +381,7 @@
 
 Event = (
     EndpointListUpdate
+    | DiscoveryObservation
     | RequestReceived
     | AttemptEnded
     | ProbeEnded
--- a/weldquay/net/counter_names.py
+++ b/weldquay/net/counter_names.py
@@ -44,6 +44,7 @@
 
 DISCOVERY_FAILURE_COUNTERS: dict[DiscoveryFailure, str] = {
     DiscoveryFailure.REFUSED: "discovery_polls_refused",
+    DiscoveryFailure.UNAVAILABLE: "discovery_polls_unavailable",
     DiscoveryFailure.CONNECT_TIMEOUT: "discovery_connect_timeouts",
     DiscoveryFailure.CLOSED: "discovery_watches_closed",
     DiscoveryFailure.HEARTBEAT_TIMEOUT: "discovery_watches_silent",
--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -23,6 +23,7 @@
 from weldquay.net.config import Config
 from weldquay.net.json_stream import JsonStreamParser
 from weldquay.net.messages import MessageError, parse_endpoint_list, watch_target
+from weldquay.net.reachability_sampler import ReachabilitySampler
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.tasks import Tasks
 
@@ -37,6 +38,13 @@
 LOCAL_AGENT_TIMEOUT_S = 0.2
 MIN_READ_S = 0.05  # received bytes are read even if this process has stalled past the timeout
 VALUE_TIMEOUT_S = 3.0  # a value that never ends would hide changes
+# After these discovery may be unreachable; where it accepts connections they show nothing more.
+SAMPLED_FAILURES = (
+    api.DiscoveryFailure.CLOSED,
+    api.DiscoveryFailure.HEARTBEAT_TIMEOUT,
+    api.DiscoveryFailure.REFUSED,
+    api.DiscoveryFailure.CONNECT_TIMEOUT,
+)
 
 
 class DiscoveryTimeout(OperatorError):
@@ -81,10 +89,12 @@
         self._endpoint_list = coordinator.endpoint_list
         self._counters = coordinator.counters
         self._tasks = Tasks()
+        self._sampler = ReachabilitySampler(self._tasks, self._counters, self._endpoint_list.on_observation)
         self._watch_task: asyncio.Task[None] | None = None
         self._outage: Counter[str] = Counter()  # failures in a row, by kind
         # The state of the current poll; times in s of the monotonic clock.
         self._polled_at = 0.0
+        self._is_connected = False
         self._has_response = False  # a response head with status 200 has arrived
         self._has_value = False  # a complete value has arrived
         self._last_complete_at = 0.0  # when the last complete value arrived; else when the poll began
@@ -98,6 +108,8 @@
         self.config = config
         if has_moved:
             self.revision = 0
+            self._sampler.report()
+            self._sampler.reset()
             self._endpoint_list.on_address_changed()
             self.watch()
 
@@ -107,6 +119,15 @@
             self._watch_task.cancel()
         self._watch_task = self._tasks.start(self._watch(), "discovery watch")
 
+    def observe(self) -> None:
+        """Continue an older process's observation of discovery, which may be down, before the first poll."""
+        if not self.config.settings.has_local_discovery_agent:
+            self._sampler.start(self.config.discovery)
+
+    def report_observation(self) -> None:
+        """Report up to now how long discovery was unreachable, for a process that goes on from there."""
+        self._sampler.report()
+
     async def stop(self) -> None:
         """Stop the watch."""
         await self._tasks.stop()
@@ -114,6 +135,7 @@
     async def _watch(self) -> None:
         self._polled_at = time.monotonic()
         self._last_complete_at = self._polled_at
+        self._is_connected = False
         self._has_response = False
         self._has_value = False
         failure = api.DiscoveryFailure.CLOSED
@@ -123,7 +145,10 @@
             failure = self._classify(error)
             self._log_failure(error, failure)
         since_update_s = time.monotonic() - self._last_complete_at
+        self._sampler.report()
         self._endpoint_list.on_failure(int(since_update_s * 1e9), failure)
+        if failure in SAMPLED_FAILURES and not self.config.settings.has_local_discovery_agent:
+            self._sampler.start(self.config.discovery)
 
     def _log_failure(self, error: Exception, failure: api.DiscoveryFailure) -> None:
         """Count a failure; only the first one in a row is logged."""
@@ -146,12 +171,14 @@
             return api.DiscoveryFailure.RESPONSE_TIMEOUT
         if not isinstance(error, OSError | WatchClosed | Unavailable):
             return api.DiscoveryFailure.RESPONSE_TIMEOUT
+        if not self._is_connected:
+            return api.DiscoveryFailure.REFUSED
         if self._has_value:
             return api.DiscoveryFailure.CLOSED
         if self._has_response:
             return api.DiscoveryFailure.RESPONSE_TIMEOUT
         was_queued = time.monotonic() - self._polled_at > QUEUE_FAILURE_S
-        return api.DiscoveryFailure.BUSY if was_queued else api.DiscoveryFailure.REFUSED
+        return api.DiscoveryFailure.BUSY if was_queued else api.DiscoveryFailure.UNAVAILABLE
 
     async def _receive_values(self) -> None:
         """Poll discovery, and apply each value of the watch until it fails.
@@ -159,6 +186,7 @@
         Raises OSError, h11.RemoteProtocolError, DiscoveryTimeout, WatchClosed, Unavailable, MessageError.
         """
         reader, writer = await self._connect()
+        self._is_connected = True
         try:
             http = h11.Connection(h11.CLIENT)
             writer.write(self._poll_request(http))
@@ -253,6 +281,7 @@
         if not self._has_value:
             self._counters.peak("longest_discovery_response_ms", (time.monotonic() - self._polled_at) * 1000)
             self._has_value = True
+            self._sampler.reset()
         if not value:
             self._endpoint_list.on_unchanged()
             return
--- a/weldquay/net/endpoint_list_adapter.py
+++ b/weldquay/net/endpoint_list_adapter.py
@@ -86,6 +86,10 @@
             )
         )
 
+    def on_observation(self, observation: api.DiscoveryObservation) -> None:
+        """Report what connection attempts to discovery have shown since the last poll."""
+        self._events.enqueue(observation)
+
     @property
     def expires_ns(self) -> int:
         """The time on the monotonic clock (ns) at which the list's lease ends: no attempt starts after it.
--- a/weldquay/net/process_migration.py
+++ b/weldquay/net/process_migration.py
@@ -106,6 +106,8 @@
 
     def _send_endpoint_list(self) -> None:
         parts = self.parts
+        parts.discovery.report_observation()
+        parts.coordinator.process_pending()
         for chunk in split_into_chunks(map(endpoint_to_json, parts.workers.listed_endpoints())):
             self.hot_restart.send(
                 EndpointListChunk(
--- a/weldquay/net/request_coordinator.py
+++ b/weldquay/net/request_coordinator.py
@@ -209,6 +209,11 @@
         self.counters.add("migrated_requests_accepted")
         return self.migration.accept_migrated(migrated, metadata, payload, on_answer, self.config)
 
+    def process_pending(self) -> None:
+        """Have the decision module handle what waits for its next step."""
+        if self.events.pending:
+            self._step()
+
     def _step(self) -> None:
         events = self.events.take()
         started_ns = time.monotonic_ns()
--- a/weldquay/policy/endpoint_list.py
+++ b/weldquay/policy/endpoint_list.py
@@ -8,6 +8,7 @@
 from weldquay.discovery.list_lease import ListLease
 from weldquay.fleet.subset import subset
 from weldquay.interface import (
+    DiscoveryObservation,
     EndpointListKind,
     EndpointListUpdate,
     Probe,
@@ -74,6 +75,10 @@
         if event.kind in COMPLETE_KINDS:
             self._remove_unlisted({entry.worker for entry in event.entries})
 
+    def apply_observation(self, event: DiscoveryObservation) -> None:
+        """Apply what connection attempts between two polls have shown."""
+        self.lease.observe(event.from_ns, event.until_ns, event.is_reachable)
+
     def _apply_entry(self, entry: WorkerEntry) -> None:
         worker = self.table.workers.setdefault(entry.worker, Worker(entry))
         has_restarted = entry.started_ns > worker.entry.started_ns
