Extend a timeout that judges a peer where the event loop ran late

Callers saw on a busy machine: requests rejected or failed after their whole deadline, though workers were idle.

Cause: after a stall asyncio.timeout cancels a wait whose result has arrived in the same turn of the loop, so connections to workers were given up after they had come up. Each such attempt was placed anew, which kept the loop late.

Used wherever a timer judges a peer: workers' connections, attempts, health checks, DELETEs, operators, discovery, hot restart.

--- a/weldquay/net/attempt_runner.py
+++ b/weldquay/net/attempt_runner.py
@@ -16,6 +16,7 @@
 from weldquay.net.config import Config
 from weldquay.net.connection_pool import ConnectionPool
 from weldquay.net.messages import JobPayload, job_headers, parse_load_report
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.requests import Attempt, ClientRequest
 from weldquay.net.tasks import Tasks
@@ -100,7 +101,7 @@
         timeout_s = ACCEPT_TIMEOUT_S if request.is_idempotent else left_ns / 1e9 + LATE_RESPONSE_S
         due_s = time.monotonic() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
+            async with PeerTimeout(timeout_s):
                 connection = await self._acquire(worker, attempt)
                 response = await self._connections.send(worker, connection, message, job.body)
         except AttemptAborted:
--- a/weldquay/net/cancellation.py
+++ b/weldquay/net/cancellation.py
@@ -6,6 +6,7 @@
 
 from weldquay.net.connection_pool import ConnectionPool
 from weldquay.net.counters import Counters
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.requests import Attempt, ClientRequest
 from weldquay.net.tasks import Tasks
 from weldquay.net.worker_connection import WorkerRequestError
@@ -81,7 +82,7 @@
         A worker that refuses the connection is not running any more, and neither is its job.
         """
         try:
-            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+            async with PeerTimeout(CANCEL_TIMEOUT_S):
                 await self._connections.request(worker, b"DELETE", f"/jobs/{request_id}".encode())
         except (WorkerRequestError, TimeoutError) as error:
             self._counters.add("cancellations_failed")
--- a/weldquay/net/connection_pool.py
+++ b/weldquay/net/connection_pool.py
@@ -11,6 +11,7 @@
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.messages import Body
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.streams import connect
 from weldquay.net.tasks import Tasks
 from weldquay.net.worker_connection import (
@@ -114,7 +115,7 @@
         self.open_connections += 1
         due_s = time.monotonic() + self._connect_timeout_s
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with PeerTimeout(self._connect_timeout_s):
                 reader, writer = await connect(worker.endpoint.host, worker.endpoint.port, READ_SIZE)
         except OSError as error:  # TimeoutError is a subclass
             self._on_closed()
--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -23,6 +23,7 @@
 from weldquay.net.config import Config
 from weldquay.net.json_stream import JsonStreamParser
 from weldquay.net.messages import MessageError, parse_endpoint_list, watch_target
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.reachability_sampler import ReachabilitySampler
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.tasks import Tasks
@@ -216,7 +217,7 @@
         is_local_agent = self.config.settings.has_local_discovery_agent
         timeout_s = LOCAL_AGENT_TIMEOUT_S if is_local_agent else CONNECT_TIMEOUT_S
         try:
-            async with asyncio.timeout(timeout_s):
+            async with PeerTimeout(timeout_s):
                 return await asyncio.open_connection(*self.config.discovery)
         except TimeoutError:
             raise DiscoveryUnreachable(timeout_s, has_response=False) from None
--- a/weldquay/net/health_checks.py
+++ b/weldquay/net/health_checks.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 
 from weldquay import interface as api
 from weldquay.net.config import Config
 from weldquay.net.connection_pool import ConnectionPool
 from weldquay.net.messages import parse_load_report
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.tasks import Tasks
 from weldquay.net.worker_connection import AttemptAborted, ConnectionLost, RequestNotSent
@@ -47,7 +47,7 @@
         started_ns = time.monotonic_ns()
         load_report = None
         try:
-            async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
+            async with PeerTimeout(HEALTH_CHECK_TIMEOUT_S):
                 response = await self._connections.request(worker, b"GET", self._target)
             load_report = parse_load_report(response.body, self._report_fields)
             outcome = _OUTCOMES_BY_STATUS.get(response.status, api.Outcome.ERROR)
--- a/weldquay/net/hot_restart.py
+++ b/weldquay/net/hot_restart.py
@@ -35,6 +35,7 @@
     WorkerStateMessage,
 )
 from weldquay.net.hot_restart_packet import Packet
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.persistence import state_path
 from weldquay.net.process_link import ProcessLink, open_socket
 
@@ -196,7 +197,7 @@
     async def _wait(self, event: asyncio.Event, timeout_s: float) -> None:
         """Wait for an event, or until the time (s) is over."""
         with suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
+            async with PeerTimeout(timeout_s):
                 await event.wait()
 
     def send(self, message: HotRestartMessage) -> None:
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -16,6 +16,7 @@
 from weldquay.net.config import Address
 from weldquay.net.counters import Counters
 from weldquay.net.messages import MessageError, closing_response, operator_call
+from weldquay.net.peer_timeout import PeerTimeout
 
 log = logging.getLogger(__name__)
 
@@ -129,7 +130,7 @@
             oldest.transport.abort()
         self.connections[writer] = None
         try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            async with PeerTimeout(REQUEST_TIMEOUT_S):
                 writer.write(await self._answer(reader))
                 await writer.drain()
                 writer.write_eof()
--- a/weldquay/net/reachability_sampler.py
+++ b/weldquay/net/reachability_sampler.py
@@ -23,6 +23,7 @@
 from weldquay.discovery.list_lease import MAX_UNOBSERVED_NS
 from weldquay.net.config import Address
 from weldquay.net.counters import Counters
+from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.tasks import Tasks
 
 SAMPLE_INTERVAL_S = 0.075  # at 100 bytes an attempt 1.3 KB/s
@@ -105,7 +106,7 @@
         try:
             with socket.socket() as sock:
                 sock.setblocking(False)
-                async with asyncio.timeout(SAMPLE_TIMEOUT_S):
+                async with PeerTimeout(SAMPLE_TIMEOUT_S):
                     await asyncio.get_running_loop().sock_connect(sock, address)
         except OSError as error:  # TimeoutError is one
             is_local = error.errno in LOCAL_ERRORS
