Do not time out a client whose bytes have arrived and are unread

Callers saw: 408 for a request that had arrived whole, where the dispatcher stood still just before it checked its time-outs. The check can run before the bytes that the system has are read; a lingering close likewise ended a client that had made room for the rest of its answer.

Change: such a time-out is postponed to the next check, three times at most, so that a client that sends without end is still rejected.

Evidence: test_a_request_that_arrived_while_the_process_stood_still_is_answered got 408 before, 200 now.

--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -126,6 +126,47 @@
     play(scenario())
 
 
+def test_a_request_that_arrived_while_the_process_stood_still_is_answered() -> None:
+    """Its timeout is handled before its last bytes are read: it was answered with 408."""
+
+    async def scenario() -> None:
+        async with site() as here:
+            data = job("c1")
+            client = socket.create_connection(("127.0.0.1", here.program.server.port))
+            client.sendall(data[:-1])
+            connection, *_ = await until(lambda: list(here.program.server.connections))
+            await until(lambda: connection.has_received)
+            client.sendall(data[-1:])
+            late = connection.since + connection_table.REQUEST_TIMEOUT_S + 0.1
+            here.program.server.table.enforce_timeouts(late)
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await read_message(reader)).status == 200
+            writer.close()
+
+    play(scenario())
+
+
+def test_a_client_that_sends_without_end_is_rejected_all_the_same() -> None:
+    """Unread bytes at each check of the timeouts postpone the end a few times only."""
+
+    async def scenario() -> None:
+        async with site() as here:
+            data = job("c1")
+            client = socket.create_connection(("127.0.0.1", here.program.server.port))
+            client.sendall(data[:20])
+            connection, *_ = await until(lambda: list(here.program.server.connections))
+            await until(lambda: connection.has_received)
+            late = connection.since + connection_table.REQUEST_TIMEOUT_S + 0.1
+            for position in range(20, 30):
+                client.sendall(data[position : position + 1])
+                here.program.server.table.enforce_timeouts(late)
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await read_message(reader)).status == 408
+            writer.close()
+
+    play(scenario())
+
+
 async def send_megabytes(writer: asyncio.StreamWriter, count: int) -> None:
     """Send as many megabytes, one after another."""
     for _ in range(count):
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -29,7 +29,9 @@
 from weldquay.net.lingering_close import READ_SIZE, LingeringClose
 from weldquay.net.request_handler import RequestHandler
 from weldquay.net.requests import AcceptedRequest
-from weldquay.net.streams import CountingReader, unread
+from weldquay.net.streams import WRITABLE, CountingReader, has_event, unread
+
+MAX_POSTPONED_TIMEOUTS = 3  # 0.3 s of a client that keeps sending, more only while the event loop is late
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,7 @@
         self.lingering_close: LingeringClose | None = None
         self.state = ConnectionState.READING
         self.since = time.monotonic()  # when the state began (s)
+        self.postponed_timeouts = 0  # of the state, for a client that has done its part
         if adopted is not None and adopted.migrated.request is None:
             if adopted.migrated.is_idle:
                 self.state = ConnectionState.IDLE
@@ -85,6 +88,7 @@
         self.table.move(self, state)
         self.state = state
         self.since = time.monotonic()
+        self.postponed_timeouts = 0
         if state is ConnectionState.LINGERING:
             self.lingering_close = LingeringClose(self.reader, self.writer, self.since)
         elif state is ConnectionState.IDLE and self.context.migrate_connection is not None:
@@ -105,7 +109,9 @@
 
     def on_timeout(self, now: float) -> None:
         """Handle a request or a lingering close that took too long; now: on the monotonic clock (s)."""
-        if self.state is ConnectionState.LINGERING:
+        if self._is_process_late():
+            self.postponed_timeouts += 1
+        elif self.state is ConnectionState.LINGERING:
             if self.lingering_close is not None and self.lingering_close.has_progressed(now):
                 self.since = now
             else:
@@ -113,8 +119,20 @@
         elif self.has_received:
             self.requests.reject(408, "the request was not whole in time")
         elif not self.has_unread_data():
+            self.context.counters.add("client_connections_silent")
             self.abort()
 
+    def _is_process_late(self) -> bool:
+        """True where the client has done its part, and this process has yet to read or write.
+
+        After a stall of the event loop a timeout may be handled before the bytes that have arrived.
+        """
+        if self.postponed_timeouts == MAX_POSTPONED_TIMEOUTS:
+            return False
+        if self.state is ConnectionState.LINGERING:
+            return self.has_unsent_data() and has_event(self.writer, WRITABLE)
+        return self.has_received and self.has_unread_data()
+
     def connection_lost(self) -> None:
         """Remove the connection from the table and end its open request."""
         self.table.remove(self)
--- a/weldquay/net/streams.py
+++ b/weldquay/net/streams.py
@@ -13,6 +13,7 @@
 
 # Events of poll.
 READABLE = select.POLLIN
+WRITABLE = select.POLLOUT
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
