Reject an overdue request that no worker can have executed, and do not fail it

Callers saw 502 for requests that were never sent: 40 to 95 of 900 in five of six copies of test_crowd_with_large_bodies on one processor (counter requests_past_deadline). A 502 leaves open whether the job ran, so a client may not repeat it.

Cause: a request for which the decisions have no answer by its deadline always got Failed. Change: Rejected (503), unless an attempt may have reached a worker.

--- a/weldquay/net/request_migration.py
+++ b/weldquay/net/request_migration.py
@@ -121,6 +121,7 @@
             settings.max_attempts,
             attempts_started=migrated.attempts_sent,
         )
+        request.possibly_executed = request.is_idempotent and migrated.attempts_sent > 0
         self._requests.add(request)
         attempts = [self._accept_attempt(request, attempt) for attempt in migrated.attempts]
         last_attempt = attempts[-1] if attempts else None
--- a/weldquay/net/request_table.py
+++ b/weldquay/net/request_table.py
@@ -13,7 +13,7 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_GRACE_NS = 10_000_000  # after its deadline a request without an answer is failed here
+ANSWER_GRACE_NS = 10_000_000  # after its deadline a request without an answer gets one here
 MAX_REQUEST_NUMBERS = 2**32
 
 ANSWER_COUNTERS: dict[type[Answer], str] = {
@@ -24,7 +24,7 @@
 
 
 class RequestTable:
-    """The requests by their numbers, each with a timer that fails it after its deadline."""
+    """The requests by their numbers, each with a timer that answers it after its deadline."""
 
     def __init__(self, counters: Counters, events: EventQueue) -> None:
         self._loop = asyncio.get_running_loop()
@@ -73,9 +73,14 @@
             del self.by_number[request.number]
 
     def _on_deadline_passed(self, request: ClientRequest) -> None:
-        """Fail a request that the decision module has not answered by its deadline."""
+        """Answer a request that the decision module has not answered by its deadline.
+
+        One that no worker can have executed is rejected, so that its client knows that a retry is harmless.
+        """
         if request.is_open:
-            log.error("request %s had no answer by its deadline: failed", request.id)
+            answer: Answer = Failed() if request.may_have_been_executed else Rejected()
+            kind = type(answer).__name__.lower()
+            log.error("request %s had no answer by its deadline: %s", request.id, kind)
             self._counters.add("requests_past_deadline")
-            self.answer(request, Failed())
+            self.answer(request, answer)
             self._events.enqueue(api.ClientDisconnected(request.number))
--- a/weldquay/net/requests.py
+++ b/weldquay/net/requests.py
@@ -55,13 +55,18 @@
     attempts_started: int = 0
     possibly_executed: bool = False  # an attempt that has ended may have executed the job
     in_flight: dict[int, Attempt] = field(default_factory=dict)  # attempts that have not ended, by number
-    deadline_timer: asyncio.TimerHandle | None = None  # fails the request after its deadline
+    deadline_timer: asyncio.TimerHandle | None = None  # answers the request after its deadline
 
     @property
     def is_idempotent(self) -> bool:
         """True if the job may be executed more than once."""
         return self.class_settings.idempotency is api.Idempotency.IDEMPOTENT
 
+    @property
+    def may_have_been_executed(self) -> bool:
+        """True if a worker may have executed the job, or may be executing it."""
+        return self.possibly_executed or any(attempt.possibly_sent for attempt in self.in_flight.values())
+
     def received_event(self, time_left_ns: int) -> api.RequestReceived:
         """The event for the decision module; time_left_ns: until the deadline."""
         metadata = self.metadata
