Refuse a hot restart between processes with different addresses

Callers saw: of two dispatchers with one name and different listen addresses, the second served the first one's address and its own refused every connection.

Cause: the hot restart goes by the name alone, and the newer process took the offered listener for its own.

Change: the newer process compares the listener's address with the configured one before it reports that it is ready. Where they differ it ends with status 1 and one line (address-conflict); the older process keeps its listener and clients. No message changed. A process that drains hands nothing over, so that an address is moved by a stop and a start.

test_error_codes_are_unchanged lists every code; the new one is added to its list.

--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -104,7 +104,8 @@
     asyncio.run(scenario())
 
 
-ERROR_CODES = {  # all of 725bba5, and two for hot-restart messages that it had no types for
+ERROR_CODES = {  # all of 725bba5, two for hot-restart messages that it had no types for, and address-conflict
+    "address-conflict",
     "cannot-listen",
     "catalogue-error",
     "child-failed",
--- a/weldquay/net/dispatcher_process.py
+++ b/weldquay/net/dispatcher_process.py
@@ -18,7 +18,7 @@
 from weldquay.net.lifecycle import Phase
 from weldquay.net.loop_monitor import LoopMonitor
 from weldquay.net.operators import Operators
-from weldquay.net.process_migration import ProcessMigration
+from weldquay.net.process_migration import AddressConflict, ProcessMigration
 from weldquay.net.service_control import ServiceControl
 
 log = logging.getLogger(__name__)
@@ -79,8 +79,9 @@
         self._handle_signals()
         try:
             await self.start()
-        except OSError as error:
-            print(f"weldquay: {CannotListen(str(error)).advice()}", file=sys.stderr)
+        except (OSError, AddressConflict) as error:
+            reason = error if isinstance(error, AddressConflict) else CannotListen(str(error))
+            print(f"weldquay: {reason.advice()}", file=sys.stderr)
             return 1
         gc.freeze()  # the collector need not examine what the start created
         LoopMonitor(self.counters).start(self.tasks)
@@ -112,6 +113,7 @@
 
         Raises:
             OSError: an address is not available.
+            AddressConflict: a process of the same name has another address.
         """
         await self.operators.listen()
         offer = await self.migration.request_listener()
--- a/weldquay/net/process_migration.py
+++ b/weldquay/net/process_migration.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import os
+import socket
 from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import replace
 
+from weldquay.errors import OperatorError
+from weldquay.net.config import Address
 from weldquay.net.dispatcher_parts import DispatcherParts
 from weldquay.net.hot_restart import HotRestart
 from weldquay.net.hot_restart_messages import (
@@ -37,6 +40,25 @@
 CONNECTION_COUNT_INTERVAL_S = 0.2
 
 
+ANY_PORT = 0  # in a configuration: the system chooses
+
+
+class AddressConflict(OperatorError):
+    """A process of the same name is running at another address."""
+
+    error_code = "address-conflict"
+    remedy = (
+        "give one of the two dispatchers another name or $TMPDIR; to move a dispatcher to another address, "
+        "stop the running process first"
+    )
+
+    def __init__(self, name: str, running: Address, configured: Address) -> None:
+        super().__init__(
+            f"a process named {name} is running at {running.host}:{running.port}, "
+            f"and this one is to listen at {configured.host}:{configured.port}"
+        )
+
+
 class ProcessMigration:
     """The hot restart of one process; implements `HotRestartDelegate`."""
 
@@ -52,12 +74,33 @@
     # --- the newer process ---
 
     async def request_listener(self) -> ListenerOffer | None:
-        """The offer of the older process, whose endpoint list is adopted; None where there is none."""
+        """The offer of the older process, whose endpoint list is adopted; None where there is none.
+
+        Raises:
+            AddressConflict: the older process has another address; it keeps its listener.
+            OSError: the configured address cannot be resolved.
+        """
         offer = await self.hot_restart.request_listener()
+        if offer is not None:
+            await self._check_address(offer)
         if self.endpoint_list_chunks:
             self._adopt_endpoint_list()
         return offer
 
+    async def _check_address(self, offer: ListenerOffer) -> None:
+        """Decline an offer of a listener at another address than the configured one."""
+        configured = self.parts.config.listen
+        listener = socket.socket(fileno=os.dup(offer.descriptor))
+        with listener:
+            offered = Address(*listener.getsockname()[:2])
+        infos = await asyncio.get_running_loop().getaddrinfo(*configured, type=socket.SOCK_STREAM)
+        hosts = [socket_address[0] for *_, socket_address in infos]
+        if configured.port in (ANY_PORT, offered.port) and offered.host in hosts:
+            return
+        os.close(offer.descriptor)
+        self.hot_restart.stop()
+        raise AddressConflict(self.parts.config.name, offered, configured)
+
     def _adopt_endpoint_list(self) -> None:
         """Start with the older process's endpoint list, which is newer than the configuration's."""
         parts = self.parts
