Count a shutdown from SIGTERM, and leave 0.15 s for the exit before SIGKILL

In the soak processes ended 0.02 to 0.2 s before the kill. The last waits of a shutdown left 50 ms for closing and for the interpreter's exit, and all of them counted from the end of a start: SIGTERM one second before that moved the exit to 2.25 s where SIGKILL comes after 1.3 s (new test, fails before).

Requests are answered 0.35 s before the kill in place of 0.25 s.

--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -100,6 +100,22 @@
     asyncio.run(scenario())
 
 
+def test_the_time_of_a_shutdown_counts_from_sigterm_also_during_a_start() -> None:
+    """A start that went on for a second after SIGTERM moved the exit past SIGKILL."""
+
+    async def scenario() -> None:
+        async with site(services=SHORT_TIMEOUTS) as here:
+            existing = socket.create_connection(("127.0.0.1", here.program.server.port))
+            started_at = time.monotonic()
+            here.program.request_shutdown()
+            await asyncio.sleep(1.0)  # the rest of the start
+            await here.program.shut_down()
+            assert time.monotonic() - started_at < SIGKILL_AFTER_S + 0.5  # 0.5 s for a slow machine
+            existing.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_request_in_the_listen_queue_is_answered_when_the_listener_closes() -> None:
     """A connection in the queue would be reset with the listener."""
 
--- a/weldquay/net/dispatcher_process.py
+++ b/weldquay/net/dispatcher_process.py
@@ -31,7 +31,9 @@
 # SIGKILL follows SIGTERM after the longest client timeout (at most MAX_CLIENT_TIMEOUT_S) and KILL_DELAY_S.
 MAX_CLIENT_TIMEOUT_S = 3.0
 KILL_DELAY_S = 0.7
-FINAL_ANSWERS_S = 0.25  # before SIGKILL: for the last answers, and for the cancellation of attempts
+FINAL_ANSWERS_S = 0.35  # before SIGKILL: for the last answers, the cancellation of attempts, and the exit
+CANCELLATION_S = 0.12  # of it: for the cancellation of attempts
+EXIT_S = 0.15  # of it: from the close of all connections to the end of the process
 POLL_INTERVAL_S = 0.05
 
 
@@ -102,7 +104,7 @@
 
     def request_shutdown(self) -> None:
         """Have `run` shut down."""
-        self.lifecycle.shutdown_requested.set()
+        self.lifecycle.request_shutdown()
 
     def print_counters(self) -> None:
         """Log the counters."""
@@ -141,8 +143,9 @@
         After a hot restart the connections migrate to the newer process instead of being closed.
         """
         loop = asyncio.get_running_loop()
-        remaining_s = self._time_until_final_answers_s()
-        final_answers_at = loop.time() + remaining_s
+        requested_at = self.lifecycle.shutdown_requested_at or loop.time()
+        final_answers_at = requested_at + self._time_until_final_answers_s()
+        remaining_s = max(0.0, final_answers_at - loop.time())
         self.service.stop_draining()
         is_migrating = self.phase is Phase.MIGRATING
         self.lifecycle.enter(Phase.DRAINING)
@@ -152,12 +155,12 @@
             self.lifecycle.enter(Phase.CLOSING)
             self.server.begin_closing()
         with suppress(TimeoutError):
-            async with asyncio.timeout_at(final_answers_at + FINAL_ANSWERS_S / 2):
+            async with asyncio.timeout_at(final_answers_at + CANCELLATION_S):
                 await self._wait_for_pending_work()
                 if is_migrating:
                     await self._wait_for_migration()
         self.lifecycle.enter(Phase.STOPPING)
-        await self._stop_parts(final_answers_at + FINAL_ANSWERS_S * 0.8)
+        await self._stop_parts(final_answers_at + FINAL_ANSWERS_S - EXIT_S)
         self.lifecycle.enter(Phase.STOPPED)
 
     def _time_until_final_answers_s(self) -> float:
--- a/weldquay/net/lifecycle.py
+++ b/weldquay/net/lifecycle.py
@@ -33,12 +33,18 @@
         self.phase = Phase.STARTING
         self.started_at = time.monotonic()  # seconds
         self.shutdown_requested = asyncio.Event()
+        self.shutdown_requested_at = 0.0  # seconds; 0: not requested
 
     def enter(self, phase: Phase) -> None:
         """Change the phase."""
         self.phase = phase
         log.info("%s is %s", self.name, phase.value)
 
+    def request_shutdown(self) -> None:
+        """Request the shutdown; SIGKILL follows the first request after a time, also during a start."""
+        self.shutdown_requested_at = self.shutdown_requested_at or time.monotonic()
+        self.shutdown_requested.set()
+
     @property
     def can_hand_over(self) -> bool:
         """True while a newer process can take over from this one."""
