Reject new requests from the moment on at which a process that ends has no work left

Cause: between the check that nothing is pending and the stop of the client side some turns of the loop pass (tasks, discovery and operators are stopped first). A request that came then was accepted, and aborted by the linger time-out.

Change: requests are rejected in the same turn of the loop as the check.

Evidence: the new test got an empty answer before, 503 and no job at the worker now.

--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -116,6 +116,36 @@
     asyncio.run(scenario())
 
 
+def test_a_request_that_comes_while_the_parts_are_stopped_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was sent to a worker, and its connection was closed without an answer a second later."""
+    monkeypatch.setattr(program, "DRAIN_KEEP_CONNECTIONS_S", 0.01)
+
+    async def scenario() -> None:
+        async with site() as here:
+            here.workers[0].script = here.workers[0].accept
+            client = socket.socket()
+            address = "127.0.0.1", here.program.server.port
+            stop_discovery = here.program.discovery.stop
+
+            async def send_and_stop() -> None:
+                monkeypatch.undo()
+                client.connect(address)
+                client.sendall(job())
+                await asyncio.sleep(0.1)
+                await stop_discovery()
+
+            monkeypatch.setattr(here.program.discovery, "stop", send_and_stop)
+            await here.program.shut_down()
+            client.setblocking(False)
+            answer = await asyncio.get_running_loop().sock_recv(client, 4096)
+            assert answer.startswith(b"HTTP/1.1 503") and here.workers[0].methods() == []
+            client.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_request_in_the_listen_queue_is_answered_when_the_listener_closes() -> None:
     """A connection in the queue would be reset with the listener."""
 
--- a/weldquay/net/client_server.py
+++ b/weldquay/net/client_server.py
@@ -199,6 +199,11 @@
         for connection in list(self.table.by_state[ConnectionState.IDLE]):
             connection.close_gracefully()
 
+    def reject_requests(self) -> None:
+        """Reject new job requests, and close each connection after its answer."""
+        self.context.is_closing = True
+        self.context.is_rejecting = True
+
     def reopen(self) -> None:
         """Accept job requests and keep connections again."""
         self.context.is_closing = False
@@ -210,8 +215,7 @@
         New job requests are rejected.  The system's queue is emptied first, since closing the listener would
         reset the connections in it.
         """
-        self.context.is_closing = True
-        self.context.is_rejecting = True
+        self.reject_requests()
         try:
             async with asyncio.timeout(linger_s):
                 await self._empty_listen_queue()
--- a/weldquay/net/dispatcher_process.py
+++ b/weldquay/net/dispatcher_process.py
@@ -159,6 +159,8 @@
                 await self._wait_for_pending_work()
                 if is_migrating:
                     await self._wait_for_migration()
+        # In the turn of the loop in which nothing is pending: a request that came later would be lost.
+        self.server.reject_requests()
         self.lifecycle.enter(Phase.STOPPING)
         await self._stop_parts(final_answers_at + FINAL_ANSWERS_S - EXIT_S)
         self.lifecycle.enter(Phase.STOPPED)
