--- a/tests/test_discovery_outages.py
+++ b/tests/test_discovery_outages.py
@@ -5,6 +5,8 @@
 import asyncio
 import random
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import pytest
@@ -198,6 +200,19 @@
         """Send nothing."""
 
 
+@asynccontextmanager
+async def site_in_an_outage() -> AsyncIterator[tuple[Site, str]]:
+    """A site whose discovery has begun to refuse connections, and discovery's address."""
+    async with site() as here:
+        await until(lambda: here.program.coordinator.is_endpoint_list_confirmed)
+        address = here.discovery.address
+        here.discovery.stop()
+        bound, _ = reserve(address)
+        with bound:
+            await until(lambda: here.program.counters.counts["discovery_polls_refused"])
+            yield here, address
+
+
 async def open_for_a_moment(address: str, seconds: float) -> None:
     """Have a discovery accept connections at the address for a time."""
     moment = Unanswering()
@@ -223,18 +238,13 @@
     """Discovery refuses connections, accepts them for a moment or not, and refuses them again for 8 s."""
 
     async def scenario() -> None:
-        async with site() as here:
-            await until(lambda: here.program.coordinator.is_endpoint_list_confirmed)
-            address = here.discovery.address
-            here.discovery.stop()
-            bound, _ = reserve(address)
+        async with site_in_an_outage() as (here, address):
             await until(lambda: here.program.counters.counts["discovery_polls_refused"] >= 2)
             if open_s:
                 await open_for_a_moment(address, open_s)
             await asyncio.sleep(STALENESS_S + 0.2)
             assert await statuses_of_requests(here, 2.0) == ({200} if is_served else {503})
             assert all(not worker.methods() for worker in here.workers) != is_served
-        bound.close()
 
     asyncio.run(scenario())
 
@@ -244,12 +254,7 @@
     """A hot restart in the middle of an outage, with and without a moment in which discovery was back."""
 
     async def scenario() -> None:
-        async with site() as here:
-            await until(lambda: here.program.coordinator.is_endpoint_list_confirmed)
-            address = here.discovery.address
-            here.discovery.stop()
-            bound, _ = reserve(address)
-            await until(lambda: here.program.counters.counts["discovery_polls_refused"])
+        async with site_in_an_outage() as (here, address):
             if open_s:
                 await open_for_a_moment(address, open_s)
                 await until(lambda: here.program.counters.counts["discovery_reachable_between_polls"])
@@ -257,7 +262,6 @@
                 await asyncio.sleep(STALENESS_S + 0.2)
                 assert await statuses_of_requests(here, 0.5) == ({503} if open_s else {200})
                 assert newer.counters.counts["requests"]
-        bound.close()
 
     asyncio.run(scenario())
 
@@ -266,12 +270,7 @@
     """A reload moves discovery in the middle of an outage; the new address refuses connections too."""
 
     async def scenario() -> None:
-        async with site() as here:
-            await until(lambda: here.program.coordinator.is_endpoint_list_confirmed)
-            address = here.discovery.address
-            here.discovery.stop()
-            bound, _ = reserve(address)
-            await until(lambda: here.program.counters.counts["discovery_polls_refused"])
+        async with site_in_an_outage() as (here, _):
             other, other_address = reserve()
             host, port = other_address.split(":")
             here.program.discovery.reconfigure(
@@ -279,7 +278,6 @@
             )
             await asyncio.sleep(STALENESS_S + 0.2)
             assert await statuses_of_requests(here, 0.5) == {200}
-        bound.close()
         other.close()
 
     asyncio.run(scenario())
--- a/weldquay/lab/soak/checks.py
+++ b/weldquay/lab/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from weldquay.lab.soak.clients import Fate, SentRequest
+from weldquay.lab.soak.clients import RequestOutcome, SentRequest
 from weldquay.lab.soak.processes import ProcessLog, SoakDispatcher
 from weldquay.lab.soak.stand_ins import JobLog, SoakDiscovery
 
@@ -31,11 +31,11 @@
     violations = []
     for request in records.requests:
         took_s = request.ended_at - request.sent_at
-        if request.fate in (Fate.UNANSWERED, Fate.CUT_OFF):
-            violations.append(f"{request.request_id}: {request.fate.value} after {took_s:.2f} s")
-        elif request.fate is Fate.ANSWERED and took_s > records.client_timeout_s + LATE_ANSWER_S:
+        if request.outcome in (RequestOutcome.UNANSWERED, RequestOutcome.CUT_OFF):
+            violations.append(f"{request.request_id}: {request.outcome.value} after {took_s:.2f} s")
+        elif request.outcome is RequestOutcome.ANSWERED and took_s > records.client_timeout_s + LATE_ANSWER_S:
             violations.append(f"{request.request_id}: answered {request.status} after {took_s:.2f} s")
-        elif request.fate is Fate.ANSWERED and request.status not in (200, 429, 502, 503):
+        elif request.outcome is RequestOutcome.ANSWERED and request.status not in (200, 429, 502, 503):
             violations.append(f"{request.request_id}: answered {request.status}")
         if not request.is_right:
             violations.append(f"{request.request_id}: a wrong result")
@@ -48,7 +48,7 @@
     ending = {dispatcher.address: dispatcher.ending for dispatcher in records.dispatchers}
     violations = []
     for request in records.requests:
-        if request.fate is not Fate.CLOSED:
+        if request.outcome is not RequestOutcome.CLOSED:
             continue
         is_ending = any(
             begun_at <= request.ended_at and request.sent_at <= ended_at + 0.1
--- a/weldquay/lab/soak/clients.py
+++ b/weldquay/lab/soak/clients.py
@@ -20,7 +20,7 @@
 NON_IDEMPOTENT_FRACTION = 0.3
 
 
-class Fate(Enum):
+class RequestOutcome(Enum):
     """How a request ended."""
 
     ANSWERED = "answered"
@@ -39,7 +39,7 @@
     is_new_connection: bool
     sent_at: float
     ended_at: float
-    fate: Fate
+    outcome: RequestOutcome
     status: int = 0
     is_right: bool = True  # the answer's body is the job's result, for status 200
 
@@ -104,7 +104,7 @@
         while not self.is_stopping:
             request = await self._exchange(address, connection, is_new)
             self.requests.append(request)
-            if request.fate is not Fate.ANSWERED or connection[0].at_eof():
+            if request.outcome is not RequestOutcome.ANSWERED or connection[0].at_eof():
                 return
             is_new = False
             await asyncio.sleep(self.draw.expovariate(1 / PAUSE_S))
@@ -118,7 +118,7 @@
         path = IDEMPOTENT_PATH if is_idempotent else NON_IDEMPOTENT_PATH
         headers = (f"X-Correlation-Id: {request_id}", f"X-Time-Left-Ms: {int(self.client_timeout_s * 1000)}")
         sent_at = time.monotonic()
-        status, is_right, fate = 0, True, Fate.ANSWERED
+        status, is_right, outcome = 0, True, RequestOutcome.ANSWERED
         try:
             async with asyncio.timeout(self.client_timeout_s + PATIENCE_S):
                 writer.write(write_message(f"POST {path} HTTP/1.1", request_id.encode(), *headers))
@@ -126,11 +126,11 @@
                 status = answer.status
                 is_right = status != 200 or answer.body == request_id.upper().encode()
         except TimeoutError:
-            fate = Fate.UNANSWERED
+            outcome = RequestOutcome.UNANSWERED
         except asyncio.IncompleteReadError as error:
-            fate = Fate.CUT_OFF if error.partial else Fate.CLOSED
+            outcome = RequestOutcome.CUT_OFF if error.partial else RequestOutcome.CLOSED
         except OSError:
-            fate = Fate.CLOSED
+            outcome = RequestOutcome.CLOSED
         return SentRequest(
             request_id,
             address,
@@ -138,7 +138,7 @@
             is_new,
             sent_at,
             time.monotonic(),
-            fate,
+            outcome,
             status,
             is_right,
         )
--- a/weldquay/lab/soak/round.py
+++ b/weldquay/lab/soak/round.py
@@ -14,7 +14,7 @@
 
 from weldquay.lab.site import reserve
 from weldquay.lab.soak.checks import Records, check
-from weldquay.lab.soak.clients import Fate, SoakClients
+from weldquay.lab.soak.clients import RequestOutcome, SoakClients
 from weldquay.lab.soak.plan import (
     CROWD_SIZE,
     DISPATCHERS,
@@ -194,7 +194,7 @@
         return RoundResult(
             check(records),
             len(requests),
-            Counter(request.status for request in requests if request.fate is Fate.ANSWERED),
-            sum(request.fate is Fate.CLOSED for request in requests),
+            Counter(request.status for request in requests if request.outcome is RequestOutcome.ANSWERED),
+            sum(request.outcome is RequestOutcome.CLOSED for request in requests),
             min((end.margin_s for end in self.processes.ends), default=0.0),
         )
