Bound the fields of a head, and keep only those that are used

Seen by callers: with hundreds of clients that sent heads of very many short fields the process passed its memory limit, and nobody got an answer for seconds. Bad lines were answered with texts of up to 60 KB.

Cause: heads were bounded by their bytes on the wire; a field of four bytes takes some 200 bytes of objects and 3.4 us, and was kept as long as its request.

Change: MAX_HEAD_LINES (256, else 431) for heads and trailers; a parsed head is reduced to the fields that the dispatcher uses; the text of a 4xx answer is cut after 200 characters.

--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -295,7 +295,7 @@
     )
     request = http.next_event()
     assert isinstance(request, h11.Request)
-    assert messages.serialize_request(request, b"abc", 250_900_000) == (
+    assert messages.serialize_request(messages.reduce_head(request), b"abc", 250_900_000) == (
         b"POST /a?b=1 HTTP/1.1\r\nhost: a\r\nx-correlation-id: c1\r\nx-time-left-ms: 250\r\n"
         b"content-length: 3\r\n\r\nabc"
     )
--- a/weldquay/net/http_channel.py
+++ b/weldquay/net/http_channel.py
@@ -12,7 +12,7 @@
 import h11
 
 from weldquay.net.http_receiver import HttpReceiver
-from weldquay.net.messages import MAX_BODY_BYTES, Body
+from weldquay.net.messages import MAX_BODY_BYTES, Body, RequestHead, reduce_head
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_PARTS = 64  # parts of a body that arrive separately; more are joined, since each has an overhead
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.receiver = HttpReceiver(self.http)
-        self.request: h11.Request | None = None  # the head of the current request, once it was parsed
+        self.request: RequestHead | None = None  # the head of the current request, once it was parsed
         self.body_parts: list[Body] = []
         self.body_size = 0  # bytes received so far
 
@@ -79,7 +79,7 @@
 
     def _begin(self, request: h11.Request) -> Rejection | None:
         """Start a request from its head.  Return a Rejection if the head is not acceptable."""
-        self.request = request
+        self.request = reduce_head(request)
         self.body_parts = []
         self.body_size = 0
         headers = dict(request.headers)
@@ -140,7 +140,7 @@
         return False
 
 
-def parse_request(data: bytes) -> tuple[h11.Request, bytearray]:
+def parse_request(data: bytes) -> tuple[RequestHead, bytearray]:
     """Parse the complete request at the start of data; return its head and its body."""
     http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
     http.receive_data(data)
@@ -149,4 +149,4 @@
     body = bytearray()
     while isinstance(event := http.next_event(), h11.Data):
         body += event.data
-    return request, body
+    return reduce_head(request), body
--- a/weldquay/net/http_receiver.py
+++ b/weldquay/net/http_receiver.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from weldquay.limits import MAX_HEAD_LINES
 from weldquay.net.chunk_decoder import CHUNK_HEAD, CRLF, decode_chunks
 
 BLANK_LINE = re.compile(rb"\n\r?\n")
@@ -37,6 +38,7 @@
         "_framing",
         "_has_ended",
         "_length_left",
+        "_lines",
         "_needs_data",
         "_pending",
         "http",
@@ -50,6 +52,7 @@
         self._has_ended = False  # the end of the stream has been received and h11 does not know it yet
         self._framing = Framing.BLANK_LINE
         self._fed_tail = b""  # the last bytes that h11 got of the lines before the blank line
+        self._lines = 0  # lines that h11 got since the start of the head or the trailers
         self._length_left = 0  # bytes of a body of known length
         self._chunk_left: int | None = None  # bytes of the incomplete chunk; None: a chunk head comes next
 
@@ -88,6 +91,7 @@
     def _begin_lines(self) -> None:
         self._framing = Framing.BLANK_LINE
         self._fed_tail = b""
+        self._lines = 0
 
     def _begin_body(self, head: h11.Request | h11.Response) -> None:
         """Choose the framing of the body as h11 does; the body of a response may end with the stream."""
@@ -131,10 +135,17 @@
         return data
 
     def _take_lines(self) -> bytes:
-        """Return the pending bytes up to the first blank line, or all if there is none."""
+        """Return the pending bytes up to the first blank line, or all if there is none.
+
+        Raises:
+            h11.RemoteProtocolError: the head or the trailers have too many lines.
+        """
         match = BLANK_LINE.search(self._fed_tail + self._pending)
         length = len(self._pending) if match is None else match.end() - len(self._fed_tail)
         data = self._take_first(length)
+        self._lines += data.count(b"\n")
+        if self._lines > MAX_HEAD_LINES:
+            raise h11.RemoteProtocolError("too many header fields", error_status_hint=431)
         self._fed_tail = (self._fed_tail + data)[1 - BLANK_LINE_BYTES :]
         return data
 
--- a/weldquay/net/messages/__init__.py
+++ b/weldquay/net/messages/__init__.py
@@ -32,6 +32,7 @@
 from weldquay.net.messages.jobs import JobPayload, job_headers, job_payload
 from weldquay.net.messages.load_reports import load_report_from_json, parse_load_report
 from weldquay.net.messages.operator_calls import OperatorCall, parse_operator_call
+from weldquay.net.messages.request_head import RequestHead, reduce_head
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -42,6 +43,7 @@
     "JobPayload",
     "MessageError",
     "OperatorCall",
+    "RequestHead",
     "RequestMetadata",
     "closing_response",
     "encode_text",
@@ -59,6 +61,7 @@
     "parse_operator_call",
     "parse_request_metadata",
     "read_json",
+    "reduce_head",
     "serialize_request",
     "watch_target",
 ]
--- a/weldquay/net/messages/client_requests.py
+++ b/weldquay/net/messages/client_requests.py
@@ -9,9 +9,8 @@
 import math
 from dataclasses import dataclass
 
-import h11
-
 from weldquay.net.messages.common import NS_PER_MS, Headers, MessageError
+from weldquay.net.messages.request_head import RequestHead
 
 CORRELATION_ID = b"x-correlation-id"
 TIME_LEFT = b"x-time-left-ms"
@@ -86,7 +85,7 @@
     return path.removeprefix(b"/").split(b"/", 1)[0]
 
 
-def serialize_request(request: h11.Request, body: bytes, time_left_ns: int) -> bytes:
+def serialize_request(request: RequestHead, body: bytes, time_left_ns: int) -> bytes:
     """Serialize a received request, with its body in one part and time_left_ns as its remaining time."""
     replaced = {
         TIME_LEFT: b"%d" % max(0, time_left_ns // NS_PER_MS),
--- a/weldquay/net/messages/jobs.py
+++ b/weldquay/net/messages/jobs.py
@@ -4,9 +4,8 @@
 
 from dataclasses import dataclass
 
-import h11
-
 from weldquay.net.messages.common import NS_PER_MS, Body
+from weldquay.net.messages.request_head import RequestHead
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,8 +22,8 @@
     idempotency_key: bytes | None = None  # Idempotency-Key; some workers drop a job with a repeated key
 
 
-def job_payload(request: h11.Request, body: Body) -> JobPayload:
-    """Return the payload of a client's request, from its head as h11 returns it and its body."""
+def job_payload(request: RequestHead, body: Body) -> JobPayload:
+    """Return the payload of a client's request, from its head and its body."""
     values = dict(request.headers)
     return JobPayload(
         request.target,
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -13,6 +13,7 @@
 import ujson
 
 from weldquay.errors import OperatorError
+from weldquay.limits import MAX_REASON_LENGTH
 from weldquay.net.config import Address
 from weldquay.net.counters import Counters
 from weldquay.net.http_receiver import HttpReceiver
@@ -159,7 +160,7 @@
             request = await _read_request(reader)
             call = parse_operator_call(request.method, request.target)
         except h11.RemoteProtocolError as error:
-            return closing_response(error.error_status_hint, str(error).encode())
+            return closing_response(error.error_status_hint, str(error)[:MAX_REASON_LENGTH].encode())
         except MessageError as error:
             return _serialize_error(UnknownOperation(str(error)))
         return self._perform(Operation(call.operation), call.worker_id)
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -6,13 +6,13 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-import h11
-
+from weldquay.limits import MAX_REASON_LENGTH
 from weldquay.net.client_context import ClientContext
 from weldquay.net.connection_state import ConnectionState
 from weldquay.net.http_channel import HttpChannel
 from weldquay.net.messages import (
     MessageError,
+    RequestHead,
     closing_response,
     encode_text,
     format_retry_after,
@@ -115,7 +115,7 @@
         for result in accepted.results:
             self._respond_with_result(result)
 
-    def _submit_job(self, request: h11.Request, job_class: int) -> None:
+    def _submit_job(self, request: RequestHead, job_class: int) -> None:
         """Submit a job request to the coordinator or reject it."""
         context = self.context
         metadata = parse_request_metadata(request.headers)
@@ -185,9 +185,12 @@
             self.connection.start_lingering_close()
 
     def reject(self, status: int, reason: str) -> None:
-        """Respond to a bad request and close the connection."""
+        """Respond to a bad request and close the connection.
+
+        The text of an error of h11 contains the whole malformed line, so it is cut.
+        """
         self.context.counters.add(f"http_errors_{status}")
-        self._respond_and_close(status, reason.encode())
+        self._respond_and_close(status, reason[:MAX_REASON_LENGTH].encode())
 
     def _respond_and_close(self, status: int, body: bytes) -> None:
         """Write a response and close the connection, without h11, which is slow for a short response."""
