Reject long white space in heads, and match chunk heads in linear time

Seen by callers: one client with chunk heads of 17 KB delayed the answers of all others by up to 2.5 s; a head with 15,000 spaces before a zero byte stops the process for 1.25 s.

Cause: CHUNK_HEAD and h11's pattern of a header field match the same white space in two places, and try each division of it.

Change: CHUNK_HEAD is possessive; a head with over 64 spaces and tabs in a row is rejected with 400 before h11 matches it.

--- a/weldquay/net/chunk_decoder.py
+++ b/weldquay/net/chunk_decoder.py
@@ -10,7 +10,8 @@
 from functools import lru_cache
 
 CRLF = b"\r\n"
-CHUNK_HEAD = re.compile(rb"([0-9A-Fa-f]{1,20})(?:;[^\r\n]*)?[ \t]*\r\n")  # group 1: the size in hexadecimal
+# Group 1: the size in hexadecimal.  Possessive, since backtracking would take quadratic time.
+CHUNK_HEAD = re.compile(rb"([0-9A-Fa-f]{1,20}+)(?:;[^\r\n]*+)?+[ \t]*+\r\n")
 SHORT_HEAD_BYTES = 3  # one hexadecimal digit and CRLF
 
 
--- a/weldquay/net/http_receiver.py
+++ b/weldquay/net/http_receiver.py
@@ -12,11 +12,13 @@
 
 import h11
 
-from weldquay.limits import MAX_HEAD_LINES
+from weldquay.limits import MAX_HEAD_LINES, MAX_WHITESPACE_RUN
 from weldquay.net.chunk_decoder import CHUNK_HEAD, CRLF, decode_chunks
 
 BLANK_LINE = re.compile(rb"\n\r?\n")
 BLANK_LINE_BYTES = 3  # its greatest length
+# h11 takes time quadratic in the length of a run of white space in a malformed field.
+LONG_WHITESPACE = re.compile(rb"[ \t]{%d}" % (MAX_WHITESPACE_RUN + 1))
 MAX_CHUNK_HEAD_BYTES = 4 * 1024  # limit for an incomplete head of a chunk; h11 handles longer ones
 
 
@@ -138,7 +140,7 @@
         """Return the pending bytes up to the first blank line, or all if there is none.
 
         Raises:
-            h11.RemoteProtocolError: the head or the trailers have too many lines.
+            h11.RemoteProtocolError: the head or the trailers have too many lines, or too much white space.
         """
         match = BLANK_LINE.search(self._fed_tail + self._pending)
         length = len(self._pending) if match is None else match.end() - len(self._fed_tail)
@@ -146,6 +148,8 @@
         self._lines += data.count(b"\n")
         if self._lines > MAX_HEAD_LINES:
             raise h11.RemoteProtocolError("too many header fields", error_status_hint=431)
+        if match is not None and LONG_WHITESPACE.search(self.http.trailing_data[0] + data):
+            raise h11.RemoteProtocolError("a header field has too much white space")
         self._fed_tail = (self._fed_tail + data)[1 - BLANK_LINE_BYTES :]
         return data
 
