Handle received requests in short turns, shared fairly by all connections

Seen by callers: one client with callbacks at full speed delayed usual answers by up to 1.7 s at a quarter of a core.

Cause: a connection handled all that it had received or read ahead in one turn, up to 256 KB; short reads of many connections were not bounded together.

Three tests that held a lock of the earlier mechanism now hold the turns themselves; what they assert is unchanged.

--- a/tests/test_http_receiver.py
+++ b/tests/test_http_receiver.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 import h11
 import pytest
@@ -12,8 +13,8 @@
 from hypothesis import strategies as st
 
 from example.toy import Discovery, Message, read_message
-from tests.site import job, list_of_one_worker, run_scenario, site, until
-from weldquay.net import client_connection, connection_table
+from tests.site import Site, job, list_of_one_worker, run_scenario, site, until
+from weldquay.net import client_connection, connection_table, read_scheduler
 from weldquay.net.connection_state import ConnectionState
 from weldquay.net.http_channel import HttpChannel, Progress
 from weldquay.net.http_receiver import HttpReceiver
@@ -216,7 +217,7 @@
 
 def test_long_reads_take_turns(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against one connection, or many, that keep the event loop from all others."""
-    monkeypatch.setattr(client_connection, "LONG_READ_S", 0.0)
+    monkeypatch.setattr(read_scheduler, "LONG_TURN_S", 0.0)
     reads: dict[client_connection.ClientConnection, list[int]] = {}  # the loop iterations of their reads
     receive = client_connection.ClientConnection._receive
     iteration = 0
@@ -246,14 +247,29 @@
     assert len(later_reads) >= 8 * 3 and len(set(later_reads)) == len(later_reads)
 
 
+@asynccontextmanager
+async def no_turns(test_site: Site, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[None]:
+    """Let all connections wait for their turns until the end of the block."""
+    ended = asyncio.Event()
+
+    async def wait(_last_turn_s: float) -> None:
+        await ended.wait()
+
+    with monkeypatch.context() as patch:
+        scheduler = test_site.process.server.context.read_scheduler
+        patch.setattr(scheduler, "must_wait", lambda _: True)
+        patch.setattr(scheduler, "wait", wait)
+        yield
+    ended.set()
+
+
 def test_a_request_that_waits_too_long_for_its_turn_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """It gets 503, since the delay is not the client's."""
     monkeypatch.setattr(connection_table, "REQUEST_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(client_connection, "LONG_READ_S", 0.0)
 
     async def scenario() -> None:
         async with site() as test_site:
-            async with test_site.process.server.context.long_reads:
+            async with no_turns(test_site, monkeypatch):
                 response = await test_site.post(body=b"x" * MAX_BODY_BYTES)
             assert response.status == 503 and not test_site.workers[0].methods()
 
@@ -265,7 +281,6 @@
     closes: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a request that was read and is closed unanswered, at a shutdown or for lack of room."""
-    monkeypatch.setattr(client_connection, "LONG_READ_S", 0.0)
 
     async def scenario() -> None:
         async with site() as test_site:
@@ -279,7 +294,7 @@
                 for idle in server.table.by_state[ConnectionState.IDLE]
                 if idle.writer.get_extra_info("peername") == address
             ]
-            async with server.context.long_reads:
+            async with no_turns(test_site, monkeypatch):
                 writer.write(job("c2"))
                 await until(lambda: connection.is_waiting_for_turn)
                 if closes == "gracefully":
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -27,6 +27,7 @@
 from weldquay.net.hot_restart_messages import MigratedConnection
 from weldquay.net.http_channel import HttpChannel, Progress, Rejection
 from weldquay.net.lingering_close import READ_SIZE, LingeringClose
+from weldquay.net.read_scheduler import MAX_TURN_S
 from weldquay.net.request_handler import RequestHandler
 from weldquay.net.requests import AcceptedRequest
 from weldquay.net.streams import WRITABLE, CountingReader, has_event, has_unread_bytes
@@ -34,7 +35,6 @@
 # How often the timeout of a state may be postponed.  Timeouts are checked every 0.1 s, so a client that keeps
 # sending gains 0.3 s, and more only if the event loop runs late.
 MAX_POSTPONED_TIMEOUTS = 3
-LONG_READ_S = 0.001  # a connection whose read takes longer waits for its turn to read again
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +71,8 @@
         self.state = ConnectionState.READING
         self.state_entered_at = time.monotonic()  # seconds
         self.postponed_timeouts = 0  # how often this state's timeout was postponed
-        self.last_read_s = 0.0  # how long the last received bytes took to handle
+        self.last_turn_s = 0.0  # how long the last turn of handling received bytes took
+        self.has_more_requests = False  # the last turn ended before all received requests were handled
         self.is_waiting_for_turn = False  # received bytes wait until other connections have read
         if adopted is not None and adopted.migrated.request is None:
             if adopted.migrated.is_idle:
@@ -161,7 +162,9 @@
 
     def has_unread_data(self) -> bool:
         """Return whether bytes or the end of the stream have arrived and are not handled yet."""
-        return self.is_waiting_for_turn or has_unread_bytes(self.reader, self.writer)
+        return (
+            self.is_waiting_for_turn or self.has_more_requests or has_unread_bytes(self.reader, self.writer)
+        )
 
     def has_unsent_data(self) -> bool:
         """Return whether part of a response is not yet in the system's send buffer."""
@@ -182,27 +185,38 @@
                 # Not while a request is open: a client that does not read responses must not stop the reads.
                 await self.writer.drain()
             data = await self.reader.read(READ_SIZE)
-            if self.last_read_s >= LONG_READ_S:
-                await self._wait_for_turn()
+            await self._wait_for_turn()
             if self.migration is not None:
                 await self.migration.run(data)
                 return
             if self.is_lingering or (not data and self.requests.open_request is not None):
                 break
             self._receive(data)
+            data = b""
+            await self._handle_remaining_requests()
         if self.lingering_close is not None:
             await self.lingering_close.drain()
 
     async def _wait_for_turn(self) -> None:
-        """Wait after a read that took long, so that only one such connection reads per loop iteration."""
-        self.is_waiting_for_turn = True
-        async with self.context.long_reads:
-            await asyncio.sleep(0)
-        self.is_waiting_for_turn = False
+        """Wait if this iteration of the event loop has no time left, or the last turn was long."""
+        if self.has_more_requests or self.context.read_scheduler.must_wait(self.last_turn_s):
+            self.is_waiting_for_turn = True
+            await self.context.read_scheduler.wait(self.last_turn_s)
+            self.is_waiting_for_turn = False
+
+    async def _handle_remaining_requests(self) -> None:
+        """Handle the received requests in further turns, until one waits for its response.
+
+        Raises:
+            OSError: the connection is lost.
+        """
+        while self.has_more_requests and not self.is_lingering and self.migration is None:
+            await self.writer.drain()
+            await self._wait_for_turn()
+            self._advance()
 
     def _receive(self, data: bytes) -> None:
         """Handle received bytes; b"" marks the end of the stream."""
-        started_at = time.monotonic()
         self.has_received_data = self.has_received_data or bool(data)
         if self.state is ConnectionState.READING:
             self.table.mark_active(self)
@@ -211,11 +225,18 @@
             self._advance()
         elif self.requests.read_ahead.accept(len(data)):
             self.channel.feed_data(data)
-        self.last_read_s = time.monotonic() - started_at
-        self.context.counters.record_peak("longest_client_read_ms", self.last_read_s * 1000)
 
     def _advance(self) -> None:
-        """Parse and handle buffered requests until one waits for its response."""
+        """Parse and handle received requests for one turn, or until one waits for its response."""
+        started_at = time.monotonic()
+        self.has_more_requests = False
+        self._advance_until(started_at + MAX_TURN_S)
+        self.last_turn_s = time.monotonic() - started_at
+        self.context.read_scheduler.record(self.last_turn_s)
+        self.context.counters.record_peak("longest_client_read_ms", self.last_turn_s * 1000)
+
+    def _advance_until(self, turn_ends_at: float) -> None:
+        """Parse and handle received requests; turn_ends_at: on the monotonic clock (s)."""
         requests = self.requests
         while requests.open_request is None and not self.is_lingering and self.migration is None:
             progress = self.channel.advance()
@@ -223,13 +244,16 @@
                 requests.reject(progress.status, progress.reason)
             elif progress is Progress.REQUEST:
                 requests.handle()
+                if time.monotonic() >= turn_ends_at:
+                    self.has_more_requests = self.channel.has_unparsed_data and requests.open_request is None
+                    return
             elif progress is Progress.CLOSED:
                 self.start_lingering_close()
             else:
                 if continue_response := self.channel.continue_response():
                     self.writer.write(continue_response)
                 if self.state is ConnectionState.IDLE and (
-                    self.channel.request or self.channel.unparsed_data
+                    self.channel.request or self.channel.has_unparsed_data
                 ):
                     self.enter(ConnectionState.READING)
                 return
@@ -242,3 +266,4 @@
         with suppress(OSError):
             await self.writer.drain()
             self._advance()
+            await self._handle_remaining_requests()
--- a/weldquay/net/client_context.py
+++ b/weldquay/net/client_context.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from weldquay.net.config import Config
@@ -11,6 +10,7 @@
 from weldquay.net.http_channel import parse_request
 from weldquay.net.messages import encode_text, job_payload, parse_request_metadata
 from weldquay.net.read_ahead import ReadAheadBudget
+from weldquay.net.read_scheduler import ReadScheduler
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.requests import AcceptedRequest, ClientRequest, RequestResult
 from weldquay.net.tasks import Tasks
@@ -37,7 +37,7 @@
         self.is_serving = is_serving
         self.read_ahead_budget = read_ahead_budget
         self.tasks = Tasks()
-        self.long_reads = asyncio.Lock()  # held for one iteration of the event loop before the next long read
+        self.read_scheduler = ReadScheduler()
         self.is_closing = False  # each connection closes after its next response
         self.is_rejecting = False  # new job requests are rejected
         self.open_request_ids: set[str] = set()
--- a/weldquay/net/http_channel.py
+++ b/weldquay/net/http_channel.py
@@ -121,6 +121,11 @@
         """The number of bytes that are held of the current request and of those behind it."""
         return self.body_size + self.receiver.held_bytes
 
+    @property
+    def has_unparsed_data(self) -> bool:
+        """Whether bytes have been received that are not part of the current request yet."""
+        return self.receiver.held_bytes > 0
+
     def release(self) -> None:
         """Drop all received bytes; nothing is parsed after this."""
         if self.held_bytes:
--- a/weldquay/net/http_receiver.py
+++ b/weldquay/net/http_receiver.py
@@ -19,6 +19,7 @@
 BLANK_LINE_BYTES = 3  # its greatest length
 # h11 takes time quadratic in the length of a run of white space in a malformed field.
 LONG_WHITESPACE = re.compile(rb"[ \t]{%d}" % (MAX_WHITESPACE_RUN + 1))
+MAX_TAKEN_LINES_BYTES = 20 * 1024  # more than the head of a message may have
 MAX_CHUNK_HEAD_BYTES = 4 * 1024  # limit for an incomplete head of a chunk; h11 handles longer ones
 
 
@@ -151,8 +152,9 @@
         Raises:
             h11.RemoteProtocolError: the head or the trailers have too many lines, or too much white space.
         """
-        match = BLANK_LINE.search(self._fed_tail + self._pending)
-        length = len(self._pending) if match is None else match.end() - len(self._fed_tail)
+        window = self._pending[:MAX_TAKEN_LINES_BYTES]
+        match = BLANK_LINE.search(self._fed_tail + window)
+        length = len(window) if match is None else match.end() - len(self._fed_tail)
         data = self._take_first(length)
         self._fed_bytes += length
         self._lines += data.count(b"\n")
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -148,7 +148,7 @@
             self.reject(409, "a call with this id is in hand")
             return
         payload = job_payload(request, self.channel.body)
-        self.read_ahead.set_size(len(self.channel.unparsed_data))
+        self.read_ahead.set_size(self.channel.receiver.held_bytes)
         self.open_request = context.coordinator.submit(
             job_class, metadata, payload, self._respond_with_result
         )
@@ -169,7 +169,7 @@
             log.exception("responding with a result failed")
             self.context.counters.add("responses_failed")
             self._respond_and_close(502, b"failed")
-        if self.connection.state is ConnectionState.IDLE and self.channel.unparsed_data:
+        if self.connection.state is ConnectionState.IDLE and self.channel.has_unparsed_data:
             self.context.tasks.start(self.connection.resume(), "next request of a connection")
 
     def _write_result(self, result: RequestResult) -> None:
