Refuse an id whose job may run or may have run, also at the other process of an upgrade

Seen by callers: a client that left and sent the same id again had its job run twice, at one process or at both of an upgrade.

Cause: only the ids of open requests were known; a client that leaves ends its request while a worker runs the job.

One assertion of test_hot_restart compares the set of the ids now.

--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -45,9 +45,8 @@
             await worker.send_callback("c1", state="started")
             async with newer_process(test_site) as newer:
                 assert newer.service.is_ready() and older.phase is Phase.MIGRATING
-                assert newer.coordinator.banned_worker_ids == {
-                    "w0"
-                } and newer.server.context.peer_request_ids == {"c1"}
+                assert newer.coordinator.banned_worker_ids == {"w0"}
+                assert set(newer.server.context.peer_request_ids) == {"c1"}
                 assert (await test_site.post("c1")).start_line.split()[1] == "409"
                 await until(lambda: newer.counters.counts["client_connections"] >= 2)
                 worker.script = None
--- a/weldquay/net/connection_migration.py
+++ b/weldquay/net/connection_migration.py
@@ -84,8 +84,7 @@
         if (open_request := connection.requests.open_request) is not None:
             self.context.counters.add("requests_migrated")
             unparsed = self._serialize(open_request) + unparsed
-            request = self.context.coordinator.migrate_request(open_request)
-            self.context.open_request_ids.discard(open_request.id)
+            request = self.context.migrate_request(open_request)
             connection.requests.open_request = None
         self.context.counters.add("connections_migrated")
         return MigratedConnection(
--- a/weldquay/net/process_migration.py
+++ b/weldquay/net/process_migration.py
@@ -126,6 +126,12 @@
             self.components.coordinator.set_worker_ban(worker_id, True)
         await self.components.readiness.wait_for_endpoint_list()
         await self.hot_restart.confirm_ready()
+        if self.hot_restart.link is not None:
+            self.components.server.context.report_open_id = self._report_open_id
+
+    def _report_open_id(self, request_id: str) -> None:
+        """Report a new request, so that the other process refuses its id."""
+        self.hot_restart.send(OpenRequests((request_id,)))
 
     def forward_callback(self, body: bytes) -> None:
         """Forward a callback that matches no attempt in this process to the other process."""
@@ -181,8 +187,10 @@
         for worker_id, snapshot in components.coordinator.worker_snapshots().items():
             host, port = components.workers.address(worker_id)
             self.hot_restart.send(WorkerStateMessage(worker_id, host, port, snapshot))
-        for request_ids in split_into_chunks(components.server.context.open_request_ids):
+        context = components.server.context
+        for request_ids in split_into_chunks([*context.recent_request_ids, *context.open_request_ids]):
             self.hot_restart.send(OpenRequests(tuple(request_ids)))
+        context.report_open_id = self._report_open_id
         components.server.start_migration(self.hot_restart.send)  # evicts connections
         self._send_connection_count()
         components.tasks.start(self._report_connection_count(), "connection count for the newer process")
@@ -254,7 +262,7 @@
         components = self.components
         components.server.table.reserve(0)
         components.workers.limit_connections(1)
-        components.server.context.peer_request_ids.clear()
+        components.server.context.peer_lost()
         components.server.context.migrate_connection = None
         for message in unsent:
             self._resume_unsent(message)
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -145,7 +145,7 @@
             self.reject_overload()
             return
         if context.has_request(metadata.id):
-            self.reject(409, "a call with this id is in hand")
+            self.reject(409, "a request with this id is open or was sent")
             return
         payload = job_payload(request, self.channel.body)
         self.read_ahead.set_size(self.channel.receiver.held_bytes)
@@ -155,13 +155,13 @@
         if self.open_request is None:
             self.reject_overload()
         else:
-            context.open_request_ids.add(metadata.id)
+            context.add_open_id(metadata.id)
             self.connection.enter(ConnectionState.WAITING)
 
     def _respond_with_result(self, result: RequestResult) -> None:
         """Write the response to the open request."""
         assert self.open_request is not None
-        self.context.open_request_ids.discard(self.open_request.id)
+        self.context.end_request(self.open_request)
         self.open_request = None
         try:
             self._write_result(result)
--- a/weldquay/net/requests.py
+++ b/weldquay/net/requests.py
@@ -72,7 +72,12 @@
     @property
     def may_have_been_executed(self) -> bool:
         """Whether a worker may have executed the job or may be executing it."""
-        return self.possibly_executed or any(attempt.possibly_sent for attempt in self.in_flight.values())
+        return self.possibly_executed or self.may_be_running
+
+    @property
+    def may_be_running(self) -> bool:
+        """Whether a worker may have an attempt that has not ended."""
+        return any(attempt.possibly_sent for attempt in self.in_flight.values())
 
     def received_event(self, time_left_ns: int) -> api.RequestReceived:
         """Return the event for the decision module; time_left_ns is the time until the deadline."""
