Ask the system whether a client has left before its job is submitted or sent

Seen by callers: a client left with much unread, and its waiting or pipelined requests were sent on afterwards.

Cause: the end of a stream was noticed when it was read, behind all bytes before it; a busy process lets connections wait for their turn.

Change: has_peer_closed (POLLRDHUP) is asked at submission and right before an attempt's first byte.

Measured: both new tests fail with the check taken out (2 failed) and hold with it.

--- a/tests/test_client_disconnections.py
+++ b/tests/test_client_disconnections.py
@@ -10,8 +10,11 @@
 import pytest
 
 from example.toy import Message, encode_message
+from tests.reading import no_turns
 from tests.site import ACCEPTED, Site, job, site, until
+from weldquay import interface as api
 from weldquay.net.hot_restart_messages import MigratedConnection
+from weldquay.net.messages import Callback
 from weldquay.net.worker_connection import WorkerConnection
 from weldquay.net.worker_endpoint import WorkerEndpoint
 
@@ -246,3 +249,59 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_a_waiting_request_is_not_sent_after_its_client_has_left_behind_unread_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of the stream is found although a busy process has not read what comes before it."""
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            await drain_worker(test_site)
+            sock = connect_client(test_site, "c1")
+            await wait_for_open_requests(test_site, 1)
+            async with no_turns(test_site, monkeypatch):
+                sock.send(b"x" * 30_000)
+                sock.close()
+                await test_site.discovery.change(test_site.workers[0], "SERVING")
+                await wait_for_disconnections(test_site)
+            await return_worker_to_service(test_site)
+            assert test_site.workers[0].methods() == ["POST"]
+
+    asyncio.run(scenario())
+
+
+def test_a_pipelined_request_is_not_submitted_after_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The request before it is answered while the end of the stream is unread."""
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            worker, counts = test_site.workers[0], test_site.process.counters.counts
+            worker.script = worker.accept
+            sock = connect_client(test_site, "c1")
+            await worker.until("POST")
+            sock.send(job("c2"))
+            (connection,) = [
+                each for each in test_site.process.server.connections if each.requests.open_request
+            ]
+            await until(lambda: connection.requests.read_ahead.size)
+            async with no_turns(test_site, monkeypatch):
+                sock.send(b"x" * 30_000)
+                sock.close()
+                callback = completion("c1")
+                assert test_site.process.coordinator.handle_callback(callback)
+                await until(lambda: counts["requests_of_disconnected_clients"])
+            worker.script = None
+            assert (await test_site.post("last")).body == b"TEXT"
+            ids = {message.headers.get("x-correlation-id") for message in worker.received}
+            assert "c2" not in ids and counts["requests"] == 2
+
+    asyncio.run(scenario())
+
+
+def completion(request_id: str) -> Callback:
+    """Return the callback that completes a job of worker w0."""
+    return Callback(request_id, "w0", api.Outcome.OK, result="done")
--- a/tests/test_http_receiver.py
+++ b/tests/test_http_receiver.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import tracemalloc
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 
 import h11
 import pytest
@@ -13,7 +12,8 @@
 from hypothesis import strategies as st
 
 from example.toy import Discovery, Message, read_message
-from tests.site import Site, job, list_of_one_worker, run_scenario, site, until
+from tests.reading import no_turns
+from tests.site import job, list_of_one_worker, run_scenario, site, until
 from weldquay.net import client_connection, connection_table, read_scheduler
 from weldquay.net.connection_state import ConnectionState
 from weldquay.net.http_channel import HttpChannel, Progress
@@ -247,22 +247,6 @@
     assert len(later_reads) >= 8 * 3 and len(set(later_reads)) == len(later_reads)
 
 
-@asynccontextmanager
-async def no_turns(test_site: Site, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[None]:
-    """Let all connections wait for their turns until the end of the block."""
-    ended = asyncio.Event()
-
-    async def wait(_last_turn_s: float) -> None:
-        await ended.wait()
-
-    with monkeypatch.context() as patch:
-        scheduler = test_site.process.server.context.read_scheduler
-        patch.setattr(scheduler, "must_wait", lambda _: True)
-        patch.setattr(scheduler, "wait", wait)
-        yield
-    ended.set()
-
-
 def test_a_request_that_waits_too_long_for_its_turn_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     """It gets 503, since the delay is not the client's."""
     monkeypatch.setattr(connection_table, "REQUEST_TIMEOUT_S", 0.2)
--- a/weldquay/net/attempt_runner.py
+++ b/weldquay/net/attempt_runner.py
@@ -150,9 +150,12 @@
         safe retry may have passed.
         """
         now_ns = time.monotonic_ns()
+        request = attempt.request
+        if request.is_open and request.has_client_left():
+            self._coordinator.client_disconnected(request)
         return (
             now_ns < self._coordinator.endpoint_list.send_deadline_ns
-            and attempt.request.is_open
+            and request.is_open
             and not attempt.has_ended
             and not worker.is_banned
             and worker.endpoint.state is api.WorkerState.READY
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -30,7 +30,7 @@
 from weldquay.net.read_scheduler import MAX_TURN_S
 from weldquay.net.request_handler import RequestHandler
 from weldquay.net.requests import AcceptedRequest
-from weldquay.net.streams import WRITABLE, CountingReader, has_event, has_unread_bytes
+from weldquay.net.streams import WRITABLE, CountingReader, has_event, has_peer_closed, has_unread_bytes
 
 # How often the timeout of a state may be postponed.  Timeouts are checked every 0.1 s, so a client that keeps
 # sending gains 0.3 s, and more only if the event loop runs late.
@@ -166,6 +166,10 @@
             self.is_waiting_for_turn or self.has_more_requests or has_unread_bytes(self.reader, self.writer)
         )
 
+    def has_client_left(self) -> bool:
+        """Return whether the client has closed the connection, also if that is not read yet."""
+        return has_peer_closed(self.writer)
+
     def has_unsent_data(self) -> bool:
         """Return whether part of a response is not yet in the system's send buffer."""
         return self.writer.transport.get_write_buffer_size() > 0
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -44,6 +44,9 @@
     def start_lingering_close(self) -> None:
         """Close the connection after the response that was written."""
 
+    def has_client_left(self) -> bool:
+        """Return whether the client has closed the connection, also if that is not read yet."""
+
     def resume(self) -> Coroutine[Any, Any, None]:
         """Handle requests that were already received."""
 
@@ -62,6 +65,10 @@
     def start_lingering_close(self) -> None:
         """Do nothing; the connection is closed."""
 
+    def has_client_left(self) -> bool:
+        """Return True."""
+        return True
+
     async def resume(self) -> None:
         """Do nothing; no request is handled any more."""
 
@@ -132,6 +139,7 @@
         self.accepted = None
         self.open_request = accepted.request
         accepted.request.on_result = self._respond_with_result
+        accepted.request.has_client_left = self.connection.has_client_left
         self.connection.enter(ConnectionState.WAITING)
         for result in accepted.results:
             self._respond_with_result(result)
@@ -147,6 +155,10 @@
         if context.has_request(metadata.id):
             self.reject(409, "a request with this id is open or was sent")
             return
+        if self.connection.has_client_left():
+            context.counters.add("requests_of_disconnected_clients")
+            self.connection.start_lingering_close()
+            return
         payload = job_payload(request, self.channel.body)
         self.read_ahead.set_size(self.channel.receiver.held_bytes)
         self.open_request = context.coordinator.submit(
@@ -155,6 +167,7 @@
         if self.open_request is None:
             self.reject_overload()
         else:
+            self.open_request.has_client_left = self.connection.has_client_left
             context.add_open_id(metadata.id)
             self.connection.enter(ConnectionState.WAITING)
 
--- a/weldquay/net/requests.py
+++ b/weldquay/net/requests.py
@@ -34,6 +34,11 @@
 RequestResult = Completed | Rejected | Failed
 
 
+def _never() -> bool:
+    """Return False; used for a request whose connection is not set up yet."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class ClientRequest:
     """A client request that has no result yet or has attempts in flight.
@@ -58,6 +63,7 @@
     in_flight: dict[int, Attempt] = field(default_factory=dict)  # the attempts in flight by number
     late_outcomes: LateOutcomes = field(default_factory=LateOutcomes)  # of the attempts that have ended
     deadline_timer: asyncio.TimerHandle | None = None  # finishes the request after its deadline
+    has_client_left: Callable[[], bool] = _never  # asks the system, which knows before the bytes are read
 
     @property
     def is_idempotent(self) -> bool:
--- a/weldquay/net/streams.py
+++ b/weldquay/net/streams.py
@@ -53,6 +53,14 @@
     return not writer.is_closing() and socket_has_event(writer.get_extra_info("socket"), events)
 
 
+def has_peer_closed(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the peer has closed the connection or its write half, or this side has closed it.
+
+    The end of the stream is found even behind unread bytes.
+    """
+    return writer.is_closing() or socket_has_event(writer.get_extra_info("socket"), HUNG_UP)
+
+
 def has_unread_bytes(reader: CountingReader, writer: asyncio.StreamWriter) -> bool:
     """Return whether bytes, or the end of the stream, have arrived and are unread."""
     return reader.buffered_bytes > 0 or has_event(writer, READABLE)
