Bound what all connections hold by a budget that follows from the memory limit

Seen by callers: crowds with large requests took the process over its limit at 48, 64 and close to it at 192 MB.

Cause: the number of connections was memory over 128 KiB; their unread, received and unsent bytes were not added up, BASE_MEMORY_MB was 20 where a start takes 29 MB, and asyncio reads 256 KiB at a time on connections to workers, discovery and operators.

Change: plan_memory divides the limit; BufferBudget counts received and unsent bytes of all client connections; beyond it partial requests get 503, those silent longest first, never an arriving callback; 16 KiB a read everywhere; at the connection limit a new connection waits up to 1 s, old partial requests give way, and connections whose clients have left are dropped. A callback that cannot be read in time is closed, not answered.

--- a/tests/test_connection_table.py
+++ b/tests/test_connection_table.py
@@ -42,6 +42,16 @@
         """Record the call."""
         self.is_aborted = True
 
+    def reject_partial_request(self, counter: str) -> None:
+        """Do nothing."""
+
+    def has_client_left(self) -> bool:
+        """Return False."""
+        return False
+
+    def drop(self) -> None:
+        """Do nothing."""
+
     def on_timeout(self, now: float) -> None:
         """Record the time of the call."""
         self.timed_out_at = now
--- a/tests/test_http_receiver.py
+++ b/tests/test_http_receiver.py
@@ -218,6 +218,7 @@
 def test_long_reads_take_turns(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against one connection, or many, that keep the event loop from all others."""
     monkeypatch.setattr(read_scheduler, "LONG_TURN_S", 0.0)
+    monkeypatch.setattr(read_scheduler, "MAX_ITERATION_S", 0.0)
     reads: dict[client_connection.ClientConnection, list[int]] = {}  # the loop iterations of their reads
     receive = client_connection.ClientConnection._receive
     iteration = 0
--- a/weldquay/limits.py
+++ b/weldquay/limits.py
@@ -4,12 +4,18 @@
 
 MAX_PORT = 65535
 MIN_SOCKETS = 128  # minimum limit of file descriptors, for clients and workers together
-MIN_MEMORY_MB = 24  # minimum memory limit; the process without connections takes about 14 MB
+MIN_MEMORY_MB = 24  # minimum memory limit that a configuration may have
 # File descriptors that the connection limits leave free: 22 for the process and its operators' connections,
 # 20 for connections that are accepted but not yet counted, 6 spare.
 RESERVED_DESCRIPTORS = 48
 MAX_HEAD_LINES = 256  # lines of the head of a message, and of the trailers of a chunked body
 MAX_WHITESPACE_RUN = 64  # bytes of spaces and tabs in a row in a head
 MAX_REASON_LENGTH = 200  # characters of the text that describes a bad request to its client
+WORKER_DESCRIPTORS_IN_TENTHS = 3  # of the descriptors, for connections to workers
 CONNECTION_BYTES = 128 * 1024  # upper bound for one connection: its body, its read buffer and its objects
-BASE_MEMORY_MB = 20  # used by the process without clients
+BASE_MEMORY_MB = 32  # used by the process without clients, with the list of a small fleet
+IDLE_CONNECTION_BYTES = 16 * 1024  # objects of a connection without a request
+UNREAD_BYTES = 32 * 1024  # of one client connection, while reading is paused
+BUFFER_OVERHEAD = 1.5  # memory of the process for each byte that connections hold, with copies and fragments
+MIN_BUFFERED_BYTES = 512 * 1024  # received and unsent bytes of all connections, however low the memory limit
+READ_AHEAD_FRACTION = 1 / 4  # of the buffered bytes, for requests that are sent before an answer
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -20,6 +20,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+from weldquay.net.buffer_budget import BufferShare
 from weldquay.net.client_context import ClientContext
 from weldquay.net.connection_migration import ConnectionMigration
 from weldquay.net.connection_state import TRANSITIONS, ConnectionState
@@ -62,6 +63,7 @@
         self.reader = reader
         self.writer = writer
         self.channel = HttpChannel()
+        self.held = BufferShare(context.buffer_budget)
         self.requests = RequestHandler(
             context, self.channel, self, None if adopted is None else adopted.accepted
         )
@@ -98,6 +100,7 @@
         if state is ConnectionState.LINGERING:
             self.lingering_close = LingeringClose(self.reader, self.writer, self.state_entered_at)
             self.channel.release()
+            self._update_held_bytes()
         elif state is ConnectionState.IDLE and self.context.migrate_connection is not None:
             asyncio.get_running_loop().call_soon(self.start_migration)
 
@@ -124,7 +127,7 @@
             else:
                 self.abort()
         elif self.is_waiting_for_turn:
-            self.requests.reject_overload()
+            self.reject_partial_request("requests_rejected_for_time")
         elif self.has_received_data:
             self.requests.reject(408, "the request was not whole in time")
         elif not self.has_unread_data():
@@ -142,12 +145,20 @@
             return self.has_unsent_data() and has_event(self.writer, WRITABLE)
         return self.has_received_data and self.has_unread_data()
 
+    def drop(self) -> None:
+        """End the connection, since its client has left."""
+        self.context.counters.add("client_connections_abandoned")
+        self.connection_lost()
+        self.abort()
+
     def connection_lost(self) -> None:
         """Remove the lost connection from the table and end its open request."""
         self.table.remove(self)
+        self.state = ConnectionState.LINGERING
         self.requests.disconnect()
         self.migration = None
         self.channel.release()
+        self.held.set_size(0)
 
     def start_migration(self) -> None:
         """Migrate to the newer process, unless the connection is closing or has a partial request."""
@@ -178,6 +189,21 @@
         """Queue bytes of a response for sending."""
         self.writer.write(data)
 
+    def reject_partial_request(self, counter: str) -> None:
+        """Reject the partial request of a job; close the connection if it may be a callback.
+
+        A worker sends a callback again until it gets a response, whatever its status.
+        """
+        self.context.counters.add(counter)
+        if self.requests.is_job():
+            self.requests.reject_overload()
+        else:
+            self.start_lingering_close()
+            self.abort()
+
+    def _update_held_bytes(self) -> None:
+        self.held.set_size(self.channel.held_bytes + self.writer.transport.get_write_buffer_size())
+
     async def run(self) -> None:
         """Read and handle requests until the connection ends.
 
@@ -227,8 +253,14 @@
         if self.requests.open_request is None:
             self.channel.feed_data(data)
             self._advance()
-        elif self.requests.read_ahead.accept(len(data)):
-            self.channel.feed_data(data)
+        else:
+            self.last_turn_s = 0.0
+            if self.requests.read_ahead.accept(len(data)):
+                self.channel.feed_data(data)
+        self._update_held_bytes()
+        if self.held.budget.is_exceeded:
+            # A callback that is arriving ends a request, and so frees memory.
+            self.table.reject_partial_requests(self.held.budget, None if self.requests.is_job() else self)
 
     def _advance(self) -> None:
         """Parse and handle received requests for one turn, or until one waits for its response."""
--- a/weldquay/net/client_server.py
+++ b/weldquay/net/client_server.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from functools import partial
 
-from weldquay.limits import BASE_MEMORY_MB, CONNECTION_BYTES, RESERVED_DESCRIPTORS
 from weldquay.net.client_connection import AdoptedConnection, ClientConnection
 from weldquay.net.client_context import ClientContext
 from weldquay.net.config import Address, Config
@@ -17,10 +16,9 @@
 from weldquay.net.connection_table import LINGER_TIMEOUT_S, ConnectionTable
 from weldquay.net.counters import Counters
 from weldquay.net.hot_restart_messages import NO_DESCRIPTOR, MigratedConnection
-from weldquay.net.lingering_close import READ_SIZE
-from weldquay.net.read_ahead import ReadAheadBudget
+from weldquay.net.memory_plan import plan_memory
 from weldquay.net.request_coordinator import RequestCoordinator
-from weldquay.net.streams import READABLE, CountingReader, socket_has_event
+from weldquay.net.streams import READABLE, CountingReader, limit_receive_size, socket_has_event
 
 log = logging.getLogger(__name__)
 
@@ -28,10 +26,12 @@
 # Connections accepted in one iteration of the event loop.  They are counted up to four iterations later;
 # limits.RESERVED_DESCRIPTORS includes descriptors for them.
 MAX_ACCEPTS = 4
-RECEIVE_SIZE = 32 * 1024  # bytes that the event loop reads at a time; part of limits.CONNECTION_BYTES
+READ_BUFFER_SIZE = 8 * 1024  # bytes; reading pauses at twice as many
+MAX_WAITING_CONNECTIONS = 8  # part of limits.RESERVED_DESCRIPTORS
+CAPACITY_WAIT_S = 1.0
+CAPACITY_POLL_S = 0.01
 TIMEOUT_CHECK_INTERVAL_S = 0.1
 STOP_POLL_INTERVAL_S = 0.01
-READ_AHEAD_FRACTION = 1 / 8  # limit on read-ahead, as a share of the memory available to clients
 
 
 async def _bind(address: Address) -> socket.socket:
@@ -57,19 +57,16 @@
         is_serving: Callable[[], bool],
     ) -> None:
         """Create the server without a listener; is_serving: returns the result for health checks."""
-        client_memory_bytes = (config.memory_mb - BASE_MEMORY_MB) * 1024 * 1024
-        connection_limit = min(
-            config.sockets - config.sockets * 3 // 10 - RESERVED_DESCRIPTORS,
-            client_memory_bytes // CONNECTION_BYTES,
-        )
-        self.table: ConnectionTable[ClientConnection] = ConnectionTable(counters, connection_limit)
+        plan = plan_memory(config.memory_mb, config.sockets)
+        self.table: ConnectionTable[ClientConnection] = ConnectionTable(counters, plan.client_connections)
         self.context = ClientContext(
             config,
             counters,
             coordinator,
             is_serving,
-            ReadAheadBudget(int(client_memory_bytes * READ_AHEAD_FRACTION)),
+            plan,
         )
+        self.waiting_connections = 0  # accepted, and not counted as long as they wait for capacity
         self.listener: socket.socket | None = None
         self.server: asyncio.Server | None = None
 
@@ -122,7 +119,7 @@
             self.server = None
 
     def _create_protocol(self, adopted: AdoptedConnection | None = None) -> asyncio.StreamReaderProtocol:
-        reader = CountingReader(READ_SIZE)
+        reader = CountingReader(READ_BUFFER_SIZE)
         if adopted is not None and adopted.migrated.unparsed:
             reader.feed_data(adopted.migrated.unparsed)
 
@@ -137,11 +134,11 @@
         """Serve a connection until it is closed."""
         counters = self.context.counters
         # A migrated connection has a descriptor already, and the older process has counted it.
-        if not self.table.ensure_capacity() and adopted is None:
+        if not (self.table.ensure_capacity() or adopted is not None or await self._wait_for_capacity()):
             counters.add("client_connections_over_limit")
             writer.transport.abort()
             return
-        writer.transport.max_size = RECEIVE_SIZE  # type: ignore[attr-defined]
+        limit_receive_size(writer)
         connection = ClientConnection(self.context, self.table, reader, writer, adopted)
         counters.add("client_connections")
         try:
@@ -155,6 +152,24 @@
             connection.connection_lost()
             writer.transport.abort()
 
+    async def _wait_for_capacity(self) -> bool:
+        """Wait until the limit allows another connection; return False if that takes too long.
+
+        Only a few connections wait, since they are not counted yet.
+        """
+        if self.waiting_connections >= MAX_WAITING_CONNECTIONS:
+            return False
+        self.waiting_connections += 1
+        give_up_at = time.monotonic() + CAPACITY_WAIT_S
+        try:
+            while (now := time.monotonic()) < give_up_at:
+                await asyncio.sleep(CAPACITY_POLL_S)
+                if self.table.ensure_capacity() or self.table.reject_oldest_partial_request(now):
+                    return True
+            return False
+        finally:
+            self.waiting_connections -= 1
+
     # --- hot restart ---
 
     def start_migration(self, migrate_connection: Callable[[MigratedConnection], None]) -> None:
@@ -252,3 +267,4 @@
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             self.table.enforce_timeouts(time.monotonic())
+            self.table.drop_abandoned()
--- a/weldquay/net/connection_pool.py
+++ b/weldquay/net/connection_pool.py
@@ -10,6 +10,7 @@
 
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
+from weldquay.net.memory_plan import plan_memory
 from weldquay.net.messages import Body
 from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.streams import connect
@@ -41,7 +42,7 @@
         self.idle: dict[WorkerConnection, WorkerEndpoint] = {}  # all idle connections, longest idle first
         self.waiters: deque[asyncio.Future[None]] = deque()  # requests that wait for a free connection
         self.open_connections = 0
-        self.connection_limit = config.sockets * 3 // 10  # the other sockets are for client connections
+        self.connection_limit = plan_memory(config.memory_mb, config.sockets).worker_connections
         self.max_connections = self.connection_limit
         self._tasks.start(self._close_expired_connections(), "closing of idle connections")
 
--- a/weldquay/net/connection_table.py
+++ b/weldquay/net/connection_table.py
@@ -4,6 +4,7 @@
 
 from typing import Generic, Protocol, TypeVar
 
+from weldquay.net.buffer_budget import BufferBudget
 from weldquay.net.connection_state import ConnectionState
 from weldquay.net.counters import Counters
 
@@ -13,6 +14,7 @@
 # Limit from the start of the connection, or the first byte of a later request, to the last byte of the
 # request.  The protocol allows slow clients 3 s.
 REQUEST_TIMEOUT_S = 2.6
+PARTIAL_REQUEST_AGE_S = 0.5  # a younger partial request is not rejected for another connection
 LINGER_TIMEOUT_S = 1.0  # limit for a lingering close whose client reads nothing
 EVICTION_COUNTERS: dict[ConnectionState, str] = {
     ConnectionState.READING: "client_connections_evicted_reading",
@@ -34,6 +36,15 @@
     def has_unsent_data(self) -> bool:
         """Return whether part of a response is not yet in the system's send buffer."""
 
+    def reject_partial_request(self, counter: str) -> None:
+        """Reject the partial request, and close; counter: counts the reason."""
+
+    def has_client_left(self) -> bool:
+        """Return whether the client has closed the connection, also if that is not read yet."""
+
+    def drop(self) -> None:
+        """End a connection whose client has left."""
+
     def abort(self) -> None:
         """Close at once, discarding unsent data."""
 
@@ -93,10 +104,46 @@
             if not self._evict_one_of(ConnectionState.READING):
                 return
 
+    def reject_partial_requests(self, budget: BufferBudget, spared: ConnectionT | None = None) -> None:
+        """Reject partial requests until the budget suffices, those that have been silent longest first.
+
+        spared: a connection that is not rejected.
+        """
+        for connection in list(self.by_state[ConnectionState.READING]):
+            if not budget.is_exceeded:
+                return
+            if connection is spared:
+                continue
+            connection.reject_partial_request("requests_rejected_for_memory")
+
     def ensure_capacity(self) -> bool:
         """Return whether one more connection may be added; at the limit, evict one to allow it."""
         return len(self.connections) < self.max_connections or self.evict_one()
 
+    def reject_oldest_partial_request(self, now: float) -> bool:
+        """Reject the partial request that has been silent longest, and evict its connection.
+
+        Its bytes may have arrived without being read for PARTIAL_REQUEST_AGE_S.  Return False if there is
+        none; now: on the monotonic clock (s).
+        """
+        for connection in self.by_state[ConnectionState.READING]:
+            if now - connection.state_entered_at < PARTIAL_REQUEST_AGE_S:
+                return False
+            connection.reject_partial_request("requests_rejected_for_capacity")
+            return self._evict_one_of(ConnectionState.LINGERING)
+        return False
+
+    def drop_abandoned(self) -> None:
+        """End the connections whose clients have left, once half of the limit is in use.
+
+        A connection that waits for its turn does not read the end of its stream.
+        """
+        if len(self.connections) * 2 < self.max_connections:
+            return
+        for connection in list(self.connections):
+            if connection.state is not ConnectionState.LINGERING and connection.has_client_left():
+                connection.drop()
+
     def evict_one(self) -> bool:
         """Evict one connection, by EVICTION_ORDER and then by age; return False if none qualifies.
 
--- a/weldquay/net/read_ahead.py
+++ b/weldquay/net/read_ahead.py
@@ -2,30 +2,25 @@
 
 from __future__ import annotations
 
+from weldquay.net.buffer_budget import BufferBudget, BufferShare
+
 # The read-ahead that each connection may always have.
 READ_AHEAD_ALLOWANCE_BYTES = 16 * 1024
 # The read-ahead of one connection while the total of all connections is within the shared budget.
 MAX_READ_AHEAD_BYTES = 256 * 1024
 
 
-class ReadAheadBudget:
+class ReadAheadBudget(BufferBudget):
     """The total read-ahead of all connections, and its limit."""
 
-    __slots__ = ("max_bytes", "used_bytes")
-
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
-        self.used_bytes = 0
 
-
-class ReadAhead:
+class ReadAhead(BufferShare):
     """The read-ahead of one connection."""
 
-    __slots__ = ("budget", "is_exceeded", "size")
+    __slots__ = ("is_exceeded",)
 
     def __init__(self, budget: ReadAheadBudget) -> None:
-        self.budget = budget
-        self.size = 0  # bytes
+        super().__init__(budget)
         self.is_exceeded = False  # bytes were dropped, so the connection closes after its response
 
     def accept(self, length: int) -> bool:
@@ -39,11 +34,6 @@
             self.set_size(size)
         return not self.is_exceeded
 
-    def set_size(self, size: int) -> None:
-        """Set the size of the read-ahead, and adjust the shared budget."""
-        self.budget.used_bytes += size - self.size
-        self.size = size
-
     @property
     def is_migratable(self) -> bool:
         """Whether no bytes were dropped and the read-ahead fits into a hot-restart message."""
--- a/weldquay/net/read_scheduler.py
+++ b/weldquay/net/read_scheduler.py
@@ -14,7 +14,9 @@
 MAX_ITERATION_S = 0.008  # time for received bytes in one iteration of the event loop
 MAX_TURN_S = 0.002  # time after which a connection handles its remaining requests in a later turn
 LONG_TURN_S = 0.001  # a connection whose last turn took longer waits for its next one
-SHORT_TURNS_PER_ITERATION = 16  # short turns that waiting connections get in an iteration
+SHORT_TURN_S = 0.0002  # assumed duration of a short turn
+
+Waiter = tuple[asyncio.Future[None], float]  # the future of a turn, and the expected duration of the turn (s)
 
 
 class ReadScheduler:
@@ -24,8 +26,8 @@
         self._loop = asyncio.get_running_loop()
         self._used_s = 0.0
         self._is_iteration_end_scheduled = False
-        self._short_waiters: deque[asyncio.Future[None]] = deque()
-        self._long_waiters: deque[asyncio.Future[None]] = deque()
+        self._short_waiters: deque[Waiter] = deque()
+        self._long_waiters: deque[Waiter] = deque()
 
     def record(self, turn_s: float) -> None:
         """Record the duration of a turn."""
@@ -40,7 +42,7 @@
         """Wait for a turn in a later iteration."""
         waiters = self._long_waiters if last_turn_s >= LONG_TURN_S else self._short_waiters
         waiter: asyncio.Future[None] = self._loop.create_future()
-        waiters.append(waiter)
+        waiters.append((waiter, max(SHORT_TURN_S, last_turn_s)))
         self._schedule_iteration_end()
         await waiter
 
@@ -50,22 +52,23 @@
             self._loop.call_soon(self._end_iteration)
 
     def _end_iteration(self) -> None:
-        """Start a new iteration, with turns for waiting connections."""
+        """Start a new iteration, with turns for waiting connections: at least one of each kind."""
         self._is_iteration_end_scheduled = False
         self._used_s = 0.0
-        for _ in range(SHORT_TURNS_PER_ITERATION):
-            if not _wake_first(self._short_waiters):
-                break
-        _wake_first(self._long_waiters)
+        remaining_s = MAX_ITERATION_S
+        for waiters in (self._short_waiters, self._long_waiters):
+            remaining_s -= _wake_first(waiters)
+            while waiters and remaining_s > 0:
+                remaining_s -= _wake_first(waiters)
         if self._short_waiters or self._long_waiters:
             self._schedule_iteration_end()
 
 
-def _wake_first(waiters: deque[asyncio.Future[None]]) -> bool:
-    """Wake the first waiter that still waits; return whether there was one."""
+def _wake_first(waiters: deque[Waiter]) -> float:
+    """Wake the first waiter that still waits; return the expected duration of its turn (s)."""
     while waiters:
-        waiter = waiters.popleft()
+        waiter, expected_s = waiters.popleft()
         if not waiter.done():
             waiter.set_result(None)
-            return True
-    return False
+            return expected_s
+    return 0.0
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -118,6 +118,11 @@
         except MessageError as error:
             self.reject(400, str(error))
 
+    def is_job(self) -> bool:
+        """Return whether the head of the current request has been read and is that of a job."""
+        request = self.channel.request
+        return request is not None and request.target.split(b"?", 1)[0] not in (HEALTH_PATH, CALLBACK_PATH)
+
     def _respond_to_health_check(self, method: bytes) -> None:
         if method not in (b"GET", b"HEAD"):
             self.reject(405, "only GET and HEAD")
@@ -159,6 +164,10 @@
             context.counters.add("requests_of_disconnected_clients")
             self.connection.start_lingering_close()
             return
+        if context.buffer_budget.is_exceeded:
+            context.counters.add("requests_rejected_for_memory")
+            self.reject_overload()
+            return
         payload = job_payload(request, self.channel.body)
         self.read_ahead.set_size(self.channel.receiver.held_bytes)
         self.open_request = context.coordinator.submit(
--- a/weldquay/net/streams.py
+++ b/weldquay/net/streams.py
@@ -17,6 +17,9 @@
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
+RECEIVE_SIZE = 16 * 1024  # bytes that the event loop reads from a socket at a time
+
+
 class CountingReader(asyncio.StreamReader):
     """A stream reader that counts the bytes in its buffer."""
 
@@ -37,6 +40,11 @@
         return data
 
 
+def limit_receive_size(writer: asyncio.StreamWriter) -> None:
+    """Limit what the event loop reads from the connection at a time; asyncio's own limit is 256 KiB."""
+    writer.transport.max_size = RECEIVE_SIZE  # type: ignore[attr-defined]
+
+
 def socket_has_event(sock: socket.socket, events: int) -> bool:
     """Return whether one of the poll events is set on a socket, without waiting.
 
@@ -79,4 +87,6 @@
         transport, _ = await loop.create_connection(lambda: protocol, host, port)
     except UnicodeError as error:  # the host has an empty or too long label
         raise OSError(f"invalid host: {error}") from error
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    limit_receive_size(writer)
+    return reader, writer
