Bound the numbers and names that workers and discovery send, and always poll again

Seen by callers: a worker's load of 1e300 failed every decision step that saw it; a number with hundreds of digits in discovery's list ended the watch for good; in a callback it closed the connection unanswered.

Cause: JSON numbers have no bound; float() and int() raise errors that nobody expected; next to 1e300 all shares of the water-fill are 0.

Change: bounds in limits.py, checked where messages are parsed; an even draw without shares; any error of a watch is reported as its failure, which starts the next poll.

--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -151,6 +151,10 @@
         except (OSError, h11.RemoteProtocolError, OperatorError) as error:
             failure = self._classify(error)
             self._log_failure(error, failure)
+        except Exception:  # without a failure to report, discovery would never be polled again
+            log.exception("discovery watch failed unexpectedly, retrying")
+            self._counters.add("discovery_watches_failed")
+            failure = api.DiscoveryFailure.RESPONSE_TIMEOUT
         since_update_s = time.monotonic() - self._last_value_at
         self._sampler.report()
         self._endpoint_list.on_failure(int(since_update_s * 1e9), failure)
--- a/weldquay/net/messages/endpoint_list.py
+++ b/weldquay/net/messages/endpoint_list.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 from typing import Any
 
 from weldquay import interface as api
-from weldquay.limits import MAX_PORT
+from weldquay.limits import MAX_NAME_LENGTH, MAX_NUMBER, MAX_PORT
 from weldquay.net.messages.common import Body, MessageError, read_json, string_field
 
 STATE_BY_PHASE: dict[str, api.WorkerState] = {
@@ -57,8 +56,8 @@
     if not isinstance(document, dict) or not isinstance(document.get("members"), list):
         raise MessageError("the endpoint list is not a JSON object with a list of members")
     revision = document.get("revision")
-    if isinstance(revision, bool) or not isinstance(revision, int):
-        raise MessageError("revision is not an integer")
+    if isinstance(revision, bool) or not isinstance(revision, int) or abs(revision) > MAX_NUMBER:
+        raise MessageError("revision is not an integer, or too large")
     endpoints = tuple(_endpoint_from_json(member) for member in document["members"])
     return EndpointList(revision, document.get("complete") is True, endpoints)
 
@@ -67,9 +66,9 @@
     if not isinstance(member, dict):
         raise MessageError("a member is not a JSON object")
     host, colon, port = string_field(member, "host_port").rpartition(":")
-    if not colon or not port.isdecimal() or int(port) > MAX_PORT:
+    if not colon or not port.isdecimal() or len(port) > len(str(MAX_PORT)) or int(port) > MAX_PORT:
         raise MessageError("host_port is not HOST:PORT")
-    if not host.isprintable():
+    if not host.isprintable() or len(host) > MAX_NAME_LENGTH:
         raise MessageError("the host of host_port has characters that a host may not have")
     state = STATE_BY_PHASE.get(string_field(member, "phase"))
     if state is None:
@@ -78,15 +77,16 @@
     weight = member.get("size", 1.0)
     up_since_ms = member.get("up_since_ms", 0)
     if not all(
-        isinstance(value, int | float) and math.isfinite(value) for value in (cell, weight, up_since_ms)
+        isinstance(value, int | float) and -MAX_NUMBER <= value <= MAX_NUMBER
+        for value in (cell, weight, up_since_ms)
     ):
-        raise MessageError("cell, size or up_since_ms is not a finite number")
+        raise MessageError("cell, size or up_since_ms is not a finite number, or too large")
     return Endpoint(
-        id=string_field(member, "id"),
+        id=_name(string_field(member, "id")),
         host=host.strip("[]"),
         port=int(port),
-        zone=str(member.get("locality", "")),
-        kind=str(member.get("flavor", "")),
+        zone=_name(member.get("locality", "")),
+        kind=_name(member.get("flavor", "")),
         cell=int(cell),
         state=state,
         weight=float(weight),
@@ -94,6 +94,17 @@
     )
 
 
+def _name(value: object) -> str:
+    """Return a name as text.  Raises MessageError if it is too long, or no text or number."""
+    if not isinstance(value, str | int | float):
+        raise MessageError("locality or flavor is no text")
+    if isinstance(value, int) and abs(value) > MAX_NUMBER:
+        raise MessageError("locality or flavor is too large a number")
+    if len(text := str(value)) > MAX_NAME_LENGTH:
+        raise MessageError("a name in the endpoint list is too long")
+    return text
+
+
 def endpoint_to_json(endpoint: Endpoint) -> dict[str, Any]:
     """Convert an endpoint to the JSON object that discovery sends for it."""
     return {
--- a/weldquay/net/messages/load_reports.py
+++ b/weldquay/net/messages/load_reports.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from weldquay import interface as api
+from weldquay.limits import MAX_REPORT_VALUE
 from weldquay.net.messages.common import Body, MessageError, read_json
 from weldquay.settings import load_report
 
@@ -24,7 +25,7 @@
     values = {}
     for name, meaning in report_fields.items():
         value = document.get(name)
-        if isinstance(value, bool) or not isinstance(value, int | float):
+        if isinstance(value, bool) or not isinstance(value, int | float) or value > MAX_REPORT_VALUE:
             return None
         values[meaning] = float(value)
     return load_report(values)
--- a/weldquay/policy/placement.py
+++ b/weldquay/policy/placement.py
@@ -121,5 +121,7 @@
                 load += CROSS_ZONE_LOAD * max(1.0, arrivals * rate)
             loads.append(load)
         weights = list(map(mul, water_fill(loads, arrivals, rates, counts), counts))
+        if not any(weights):  # the loads are so large that the arrivals are lost in rounding
+            weights = list(map(float, counts))
         members = self.context.random.choices(groups, weights)[0].members
         return members[0] if len(members) == 1 else self.context.random.choice(members)
--- a/weldquay/settings.py
+++ b/weldquay/settings.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 from weldquay import interface as api
+from weldquay.limits import MAX_REPORT_VALUE
 
 IDEMPOTENCY_BY_EFFECT = {
     "retryable": api.Idempotency.IDEMPOTENT,
@@ -150,8 +151,8 @@
 
 
 def load_report(values: Mapping[str, float]) -> api.LoadReport | None:
-    """Build a load report from values by meaning; None if one of them is negative or not finite."""
-    if any(not math.isfinite(value) or value < 0.0 for value in values.values()):
+    """Build a load report from values by meaning; None if one of them is out of range."""
+    if any(not 0.0 <= value <= MAX_REPORT_VALUE for value in values.values()):
         return None
     return api.LoadReport(
         values.get("free_slots"),
