Drop the deadlines of finished requests, and use one timer for all deadlines

Cause: the heap of deadlines and a timer for each request were kept until they were due.

Change: the heap is compacted; ActionExecutor keeps one timer for the earliest deadline. The decisions' actions are unchanged.

--- a/weldquay/net/action_executor.py
+++ b/weldquay/net/action_executor.py
@@ -16,6 +16,7 @@
 from weldquay.net.event_queue import EventQueue
 from weldquay.net.request_table import RequestTable
 from weldquay.net.requests import Attempt, ClientRequest, DiscoveryWatcher, Failed, Rejected, WorkerClient
+from weldquay.policy.timers import TimerToken
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +46,8 @@
         self._requests = requests
         self._attempts = attempts
         self._worker_ids = endpoint_list.worker_ids
+        self._deadline_timer: asyncio.TimerHandle | None = None
+        self._deadline_ns = 0  # when that timer is due, on the monotonic clock
         self.handlers: dict[type[api.Action], Callable[[Any], None]] = {
             api.Send: self._send,
             api.Reject: self._reject,
@@ -110,7 +113,29 @@
         if attempt is not None:
             self._attempts.cancel(attempt, api.Outcome.CANCELLED)
 
+    def schedule_deadline(self, deadline_ns: int | None) -> None:
+        """Schedule a step at the earliest deadline of all requests; None: there is none."""
+        if self._deadline_timer is not None:
+            if deadline_ns is not None and deadline_ns >= self._deadline_ns:
+                return  # the timer is early, and then scheduled again
+            self._deadline_timer.cancel()
+            self._deadline_timer = None
+        if deadline_ns is not None:
+            self._deadline_ns = deadline_ns
+            delay_s = max(0, deadline_ns - time.monotonic_ns()) / 1e9
+            self._deadline_timer = self._loop.call_later(delay_s, self._on_deadline)
+
+    def _on_deadline(self) -> None:
+        self._deadline_timer = None
+        self._events.enqueue(api.TimerDue(TimerToken.REQUEST_DEADLINE))
+
     def _set_timer(self, action: api.SetTimer) -> None:
+        """Start a timer, but none for a deadline: one timer serves all deadlines.
+
+        A timer for each would outlive its request, by a day if the client says so.
+        """
+        if action.token == TimerToken.REQUEST_DEADLINE:
+            return
         self._loop.call_later(action.delay_ns / 1e9, self._events.enqueue, api.TimerDue(action.token))
 
     def _probe(self, action: api.Probe) -> None:
--- a/weldquay/net/request_coordinator.py
+++ b/weldquay/net/request_coordinator.py
@@ -208,10 +208,12 @@
         except Exception:  # the requests in this batch fail at their deadlines; others are not affected
             log.exception("decision step failed on %r", events)
             self.counters.add("steps_failed")
+            self.executor.schedule_deadline(self.dispatcher.next_deadline_ns())
             return
         handlers = self.executor.handlers
         for action in actions:
             handlers[type(action)](action)
+        self.executor.schedule_deadline(self.dispatcher.next_deadline_ns())
         self.endpoint_list.log_lease_changes(started_ns, has_requests=bool(self.requests.by_number))
         self.counters.add("steps")
         self.counters.record_peak("longest_step_ms", (time.monotonic_ns() - started_ns) / 1e6)
--- a/weldquay/policy/dispatcher.py
+++ b/weldquay/policy/dispatcher.py
@@ -118,6 +118,10 @@
         self.run_due_work(any(not isinstance(event, AttemptProgress) for event in events))
         return context.actions
 
+    def next_deadline_ns(self) -> int | None:
+        """Return the earliest deadline of a request, at which a step is due; None if there is none."""
+        return self.components.open_requests.next_deadline_ns()
+
     def reconfigure(self, event: SettingsChanged) -> None:
         """Apply changed settings; open requests keep the class settings they were accepted with."""
         settings = self.context.settings = event.settings
--- a/weldquay/policy/open_requests.py
+++ b/weldquay/policy/open_requests.py
@@ -31,6 +31,7 @@
 from weldquay.state.records import Attempt, Job, Worker
 
 MAX_REMEMBERED_REJECTIONS = 4096  # rejected requests that are recognised when their client retries them
+MIN_COMPACTED_DEADLINES = 1024  # that many deadlines of finished requests may remain
 Fingerprint = tuple[int, int, int | None, float, float]
 
 
@@ -91,9 +92,21 @@
         time_left_ns = int(max(0, min(time_left_ns, context.shutdown_ns - now_ns)))
         job.deadline_ns = now_ns + time_left_ns
         heapq.heappush(self.deadlines, (job.deadline_ns, request.request_id))
+        if len(self.deadlines) > 2 * len(self.requests.jobs) + MIN_COMPACTED_DEADLINES:
+            self._drop_finished_deadlines()
         context.actions.append(SetTimer(time_left_ns, TimerToken.REQUEST_DEADLINE))
         self.probing.add_budget()
 
+    def _drop_finished_deadlines(self) -> None:
+        """Drop the deadlines of finished requests, which may be a day away."""
+        jobs = self.requests.jobs
+        self.deadlines = [entry for entry in self.deadlines if entry[1] in jobs]
+        heapq.heapify(self.deadlines)
+
+    def next_deadline_ns(self) -> int | None:
+        """Return the earliest deadline, possibly that of a finished request; None if there is none."""
+        return self.deadlines[0][0] if self.deadlines else None
+
     def resume_migrated(self, event: RequestMigrated) -> None:
         """Take over a request of an older process, with its attempt in flight, if any.
 
