--- a/weldquay/net/client_context.py
+++ b/weldquay/net/client_context.py
@@ -19,8 +19,9 @@
 from weldquay.net.tasks import Tasks
 
 
-def _drop_callback(_body: bytes) -> None:
+def _drop_callback(_body: bytes) -> bool:
     """Drop a callback that matches no attempt, since there is no other process to forward it to."""
+    return True
 
 
 def _drop_id(_request_id: str) -> None:
@@ -58,7 +59,8 @@
         # During a hot restart: sends a connection to the newer process.
         self.migrate_connection: Callable[[MigratedConnection], None] | None = None
         # During a hot restart: forwards the body of a callback that matches no attempt to the other process.
-        self.forward_callback: Callable[[bytes], None] = _drop_callback
+        # It returns False if the callback has to come again.
+        self.forward_callback: Callable[[bytes], bool] = _drop_callback
         self.reconfigure(config)
 
     def reconfigure(self, config: Config) -> None:
--- a/weldquay/net/config.py
+++ b/weldquay/net/config.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -118,13 +117,6 @@
     document: dict[str, Any]  # the JSON object of the file
 
 
-def assign_numbers(names: tuple[str, ...]) -> dict[str, int]:
-    """Number the names in order; looking up a further name assigns the next number."""
-    numbers: defaultdict[str, int] = defaultdict(lambda: len(numbers))
-    numbers.update({name: number for number, name in enumerate(names)})
-    return numbers
-
-
 def load(environ: Mapping[str, str]) -> Config:
     """Read and check the configuration file named by GW_CONFIG.  Raises ConfigError."""
     path = environ.get("GW_CONFIG")
--- a/weldquay/net/discovery_client.py
+++ b/weldquay/net/discovery_client.py
@@ -30,11 +30,12 @@
 from weldquay.net.peer_timeout import PeerTimeout
 from weldquay.net.reachability_sampler import ReachabilitySampler
 from weldquay.net.request_coordinator import RequestCoordinator
+from weldquay.net.streams import CountingReader, connect
 from weldquay.net.tasks import Tasks
 
 log = logging.getLogger(__name__)
 
-READ_SIZE = 64 * 1024  # bytes
+READ_SIZE = 16 * 1024  # bytes
 HEARTBEAT_S = 2.0  # maximum interval between two lines of a watch
 HEARTBEAT_GRACE_S = 0.6  # tolerated delay of a line; a missed change is deemed known 6 s after the last line
 CONNECT_TIMEOUT_S = 1.6  # allows for one SYN retransmission, which is sent after 1 s
@@ -211,6 +212,8 @@
                     if remaining_s <= 0 and deadline_passed:
                         raise self._timeout_error()
                     deadline_passed = remaining_s <= 0
+                    if reader.buffered_bytes:
+                        await asyncio.sleep(0)  # a read of buffered bytes does not give way to other tasks
                     receiver.receive_data(await self._read(reader, max(MIN_READ_S, remaining_s)))
                 elif isinstance(event, h11.Response):
                     self._check_status(event.status_code)
@@ -223,13 +226,13 @@
         finally:
             writer.transport.abort()
 
-    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def _connect(self) -> tuple[CountingReader, asyncio.StreamWriter]:
         """Connect to discovery.  Raises DiscoveryUnreachable on a timeout, OSError on another failure."""
         is_local_agent = self.config.settings.has_local_discovery_agent
         timeout_s = LOCAL_AGENT_TIMEOUT_S if is_local_agent else CONNECT_TIMEOUT_S
         try:
             async with PeerTimeout(timeout_s):
-                return await asyncio.open_connection(*self.config.discovery)
+                return await connect(*self.config.discovery, READ_SIZE)
         except TimeoutError:
             raise DiscoveryUnreachable(timeout_s, has_response=False) from None
 
--- a/weldquay/net/endpoint_list_adapter.py
+++ b/weldquay/net/endpoint_list_adapter.py
@@ -9,13 +9,16 @@
 import logging
 import time
 import zlib
+from dataclasses import replace
 
 from weldquay import interface as api
-from weldquay.net.config import Config, assign_numbers
+from weldquay.limits import MAX_ENDPOINTS
+from weldquay.net.config import Config
 from weldquay.net.counter_names import DISCOVERY_FAILURE_COUNTERS, LIST_COUNTERS
 from weldquay.net.counters import Counters
 from weldquay.net.event_queue import EventQueue
 from weldquay.net.messages import Endpoint, EndpointList, encode_text
+from weldquay.net.name_numbers import assign_numbers
 from weldquay.net.requests import WorkerClient
 from weldquay.policy.dispatcher import Dispatcher
 from weldquay.policy.worker_table import MAX_REMOVED_WORKERS
@@ -23,6 +26,8 @@
 log = logging.getLogger(__name__)
 
 NS_PER_MS = 1_000_000
+# Listed workers, those that the decision module keeps after their removal, and as many that it has dropped.
+MAX_WORKER_NUMBERS = MAX_ENDPOINTS + 2 * MAX_REMOVED_WORKERS
 
 
 class EndpointListAdapter:
@@ -59,12 +64,24 @@
         """Apply a list or changes to it; lease: for a cached list, that of an earlier process."""
         self._counters.add(LIST_COUNTERS[kind])
         self._discard_departed()
-        for endpoint in update.endpoints:
-            self.worker_number(endpoint.id)
+        update = self._number_endpoints(update)
         self.workers.apply_endpoint_list(update)
         entries = tuple(self._worker_entry(endpoint) for endpoint in update.endpoints)
         self._events.enqueue(api.EndpointListUpdate(kind, entries, lease=lease))
 
+    def _number_endpoints(self, update: EndpointList) -> EndpointList:
+        """Number the workers of an update; return it without new workers beyond MAX_WORKER_NUMBERS."""
+        accepted = []
+        for endpoint in update.endpoints:
+            if endpoint.id in self.worker_numbers or len(self.worker_numbers) < MAX_WORKER_NUMBERS:
+                self.worker_number(endpoint.id)
+                accepted.append(endpoint)
+        if excess := len(update.endpoints) - len(accepted):
+            self._counters.add("endpoint_lists_over_limit")
+            log.warning("%d workers of the endpoint list ignored: there are too many", excess)
+            return replace(update, endpoints=tuple(accepted))
+        return update
+
     def on_unchanged(self) -> None:
         """Report that discovery has no changes."""
         self._events.enqueue(api.EndpointListUpdate(api.EndpointListKind.UNCHANGED))
--- a/weldquay/net/hot_restart.py
+++ b/weldquay/net/hot_restart.py
@@ -16,6 +16,7 @@
 from contextlib import suppress
 from typing import Protocol
 
+from weldquay.limits import MAX_FORWARDED_CALLBACK_BYTES
 from weldquay.net.counters import Counters
 from weldquay.net.hot_restart_codec import UnknownMessageKind, decode, encode
 from weldquay.net.hot_restart_messages import (
@@ -211,6 +212,10 @@
         elif packet.has_descriptor:
             os.close(packet.descriptor)
 
+    def can_forward(self) -> bool:
+        """Return whether a callback may be sent; False if too many bytes wait for a slow peer."""
+        return self.link is None or self.link.unsent_bytes <= MAX_FORWARDED_CALLBACK_BYTES
+
     def stop(self) -> None:
         """Stop listening, and close the link."""
         if self.listening_socket is not None:
--- a/weldquay/net/operators.py
+++ b/weldquay/net/operators.py
@@ -19,6 +19,7 @@
 from weldquay.net.http_receiver import HttpReceiver
 from weldquay.net.messages import MessageError, closing_response, parse_operator_call
 from weldquay.net.peer_timeout import PeerTimeout
+from weldquay.net.streams import limit_receive_size
 
 log = logging.getLogger(__name__)
 
@@ -137,6 +138,7 @@
             del self.connections[oldest]
             oldest.transport.abort()
         self.connections[writer] = None
+        limit_receive_size(writer)
         try:
             async with PeerTimeout(REQUEST_TIMEOUT_S):
                 writer.write(await self._serve_request(reader))
--- a/weldquay/net/process_link.py
+++ b/weldquay/net/process_link.py
@@ -69,6 +69,7 @@
         self.on_lost = on_lost
         self.loop = asyncio.get_running_loop()
         self.unsent: deque[Packet] = deque()
+        self.unsent_bytes = 0  # of the binary data of these packets
         self.is_blocked = False  # the next packet waits until the kernel accepts it
         self.was_reset = False  # the peer process has exited
         self.is_open = True
@@ -78,6 +79,7 @@
     def send(self, packet: Packet) -> None:
         """Queue and send a packet; its descriptor is closed in this process once it was sent."""
         self.unsent.append(packet)
+        self.unsent_bytes += len(packet.data)
         if self.is_open and not self.is_blocked:
             self._write()
 
@@ -110,6 +112,7 @@
                 if not self._handle_write_error(error, packet):
                     return
             self.unsent.popleft()
+            self.unsent_bytes -= len(packet.data)
             if packet.has_descriptor:
                 os.close(packet.descriptor)
 
--- a/weldquay/net/process_migration.py
+++ b/weldquay/net/process_migration.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 
 from weldquay.errors import OperatorError
+from weldquay.limits import MAX_ENDPOINTS
 from weldquay.net.config import Address, add_retired_class
 from weldquay.net.dispatcher_components import DispatcherComponents
 from weldquay.net.hot_restart import HotRestart
@@ -133,9 +134,16 @@
         """Report a new request, so that the other process refuses its id."""
         self.hot_restart.send(OpenRequests((request_id,)))
 
-    def forward_callback(self, body: bytes) -> None:
-        """Forward a callback that matches no attempt in this process to the other process."""
+    def forward_callback(self, body: bytes) -> bool:
+        """Forward a callback that matches no attempt in this process to the other process, if there is one.
+
+        Return False if too many wait for the other process.
+        """
+        if not self.hot_restart.can_forward():
+            self.components.counters.add("callbacks_not_forwarded")
+            return False
         self.hot_restart.send(ForwardedCallback(body))
+        return True
 
     # --- the older process ---
 
@@ -214,7 +222,7 @@
                 components.workers.add_unlisted_worker(message.worker_id, message.host, message.port)
                 components.coordinator.restore_worker(message.worker_id, message.snapshot)
             case EndpointListChunk():
-                self.endpoint_list_chunks.append(message)
+                self._add_endpoint_list_chunk(message)
             case OpenRequests():
                 components.server.context.peer_request_ids.update(message.request_ids)
             case MigratedConnection():
@@ -226,6 +234,12 @@
             case ForwardedCallback():
                 self._handle_forwarded_callback(message)
 
+    def _add_endpoint_list_chunk(self, chunk: EndpointListChunk) -> None:
+        """Add a part of the older process's list, as far as the list has at most MAX_ENDPOINTS workers."""
+        count = sum(len(each.endpoints) for each in self.endpoint_list_chunks)
+        if count + len(chunk.endpoints) <= MAX_ENDPOINTS:
+            self.endpoint_list_chunks.append(chunk)
+
     def _accept_connection(self, connection: MigratedConnection) -> None:
         if connection.descriptor == NO_DESCRIPTOR:  # this process had reached its limit of descriptors
             self.components.counters.add("hot_restart_connections_without_descriptor")
@@ -255,7 +269,7 @@
             # A callback can arrive before its request has migrated.  If it is sent back, it arrives at the
             # newer process after the request.
             if not is_matched and self.components.server.context.migrate_connection is not None:
-                self.hot_restart.send(message)
+                self.forward_callback(message.body)
 
     def on_peer_lost(self, unsent: Iterable[HotRestartMessage]) -> None:
         """Release what was reserved for the peer, and serve again if a newer process ended prematurely."""
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -135,9 +135,10 @@
         """Pass a callback to the coordinator; an unmatched one may belong to the other process."""
         body = self.channel.body
         callback = parse_callback(body, self.context.config.report_fields)
-        if not self.context.coordinator.handle_callback(callback):
-            self.context.forward_callback(bytes(body))
-        self._respond(204)
+        if self.context.coordinator.handle_callback(callback) or self.context.forward_callback(bytes(body)):
+            self._respond(204)
+        else:  # without a response the worker sends it again
+            self.connection.start_lingering_close()
 
     def _continue_accepted_request(self, accepted: AcceptedRequest) -> None:
         """Wait for the result of a request that the older process accepted."""
--- a/weldquay/net/service_control.py
+++ b/weldquay/net/service_control.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from weldquay.limits import MAX_BANS
 from weldquay.net.dispatcher_components import DispatcherComponents
 from weldquay.net.hot_restart_messages import BanChange, HotRestartMessage
 from weldquay.net.lifecycle import Phase
@@ -82,6 +83,8 @@
         coordinator = self.components.coordinator
         if not coordinator.is_known_worker(worker_id):
             return False
+        if is_banned and len(coordinator.banned_worker_ids) >= MAX_BANS:
+            return worker_id in coordinator.banned_worker_ids
         coordinator.set_worker_ban(worker_id, is_banned)
         self.saved_bans.write(coordinator.banned_worker_ids)
         self.send_to_peer(BanChange(worker_id, is_banned))
