Log why a process ends, what holds its memory, and what becomes of requests

Cause: the records of the incident could not show which process ended or why, its memory, or why a request was refused or retried.

The toy fleet of test_sizes closes its connections for callbacks: their destructors ran in a later event loop, and one such warning ended a test run with an error of the interpreter.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -85,6 +85,12 @@
         """Return a load report of a worker without jobs."""
         return IDLE_LOAD_REPORT
 
+    def stop(self) -> None:
+        """Close all connections, also those for callbacks."""
+        super().stop()
+        for pool in self.pools.values():
+            pool.close()
+
 
 def list_update(numbers: range, state: api.WorkerState) -> api.EndpointListUpdate:
     """Return a delta of the endpoint list that sets the state of these workers."""
--- a/weldquay/__main__.py
+++ b/weldquay/__main__.py
@@ -64,8 +64,12 @@
 
 
 async def _run(config: Config) -> int:
-    """Run the dispatcher and return its exit status."""
-    return await DispatcherProcess(config).run()
+    """Run the dispatcher and return its exit status; whatever else ends it is logged."""
+    try:
+        return await DispatcherProcess(config).run()
+    except BaseException:
+        log.critical("%s ends because of an exception", config.name, exc_info=True)
+        raise
 
 
 if __name__ == "__main__":
--- a/weldquay/net/action_executor.py
+++ b/weldquay/net/action_executor.py
@@ -14,6 +14,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.endpoint_list_adapter import EndpointListAdapter
 from weldquay.net.event_queue import EventQueue
+from weldquay.net.request_log import RequestEvent
 from weldquay.net.request_table import RequestTable
 from weldquay.net.requests import Attempt, ClientRequest, DiscoveryWatcher, Failed, Rejected, WorkerClient
 from weldquay.policy.timers import TimerToken
@@ -77,6 +78,10 @@
             return
         self._counters.add("attempts")
         number = request.attempts_started
+        if number:
+            self._counters.request_log.write(
+                RequestEvent.RETRIED, request.id, f"attempt {number} at worker {worker_id}"
+            )
         request.attempts_started += 1
         deadline_ns = request.deadline_ns
         if action.timeout_ns:
--- a/weldquay/net/attempt_table.py
+++ b/weldquay/net/attempt_table.py
@@ -11,6 +11,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.event_queue import EventQueue
 from weldquay.net.late_outcomes import ANY_OUTCOME
+from weldquay.net.request_log import RequestEvent
 from weldquay.net.request_table import RequestTable
 from weldquay.net.requests import Attempt, Completed
 
@@ -76,6 +77,12 @@
         self.remove(attempt)
         request = attempt.request
         self._counters.add(ATTEMPT_COUNTERS[outcome])
+        if outcome is not api.Outcome.OK:
+            self._counters.request_log.write(
+                RequestEvent.ATTEMPT_ENDED,
+                request.id,
+                f"attempt {attempt.number} at worker {attempt.worker_id}, outcome {outcome.value}",
+            )
         if not outcome.never_executed:
             request.possibly_executed = True
             if attempt.possibly_sent:
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -30,6 +30,7 @@
 from weldquay.net.lingering_close import READ_SIZE, LingeringClose
 from weldquay.net.read_scheduler import MAX_TURN_S
 from weldquay.net.request_handler import RequestHandler
+from weldquay.net.request_log import RequestEvent
 from weldquay.net.requests import AcceptedRequest
 from weldquay.net.streams import WRITABLE, CountingReader, has_event, has_peer_closed, has_unread_bytes
 
@@ -196,8 +197,9 @@
         """
         self.context.counters.add(counter)
         if self.requests.is_job():
-            self.requests.reject_overload()
+            self.requests.reject_overload(counter)
         else:
+            self.context.counters.request_log.write(RequestEvent.CONNECTION_CLOSED, "", counter)
             self.start_lingering_close()
             self.abort()
 
--- a/weldquay/net/counters.py
+++ b/weldquay/net/counters.py
@@ -6,11 +6,14 @@
 
 import ujson
 
+from weldquay.net.request_log import RequestLog
+
 
 class Counters:
-    """Counters by name, and the peak value of each measured quantity."""
+    """Counters by name, the peak value of each measured quantity, and the log of single requests."""
 
     def __init__(self) -> None:
+        self.request_log = RequestLog()
         self.counts: Counter[str] = Counter()
         self.peaks: dict[str, float] = {}
 
--- a/weldquay/net/dispatcher_components.py
+++ b/weldquay/net/dispatcher_components.py
@@ -28,6 +28,21 @@
         self.discovery = DiscoveryClient(config, self.coordinator)
         self.server = ClientServer(config, self.counters, self.coordinator, self.readiness.is_serving)
 
+    def describe_memory(self) -> str:
+        """Return what holds memory in this process, as one line."""
+        table, context = self.server.table, self.server.context
+        states = ", ".join(f"{state.value} {len(found)}" for state, found in table.by_state.items())
+        endpoint_list = self.coordinator.endpoint_list
+        return (
+            f"{len(table.connections)} client connections ({states}) of {table.max_connections}, "
+            f"{context.buffer_budget.used_bytes} buffered bytes of {context.buffer_budget.max_bytes}, "
+            f"{context.read_ahead_budget.used_bytes} of them read ahead, "
+            f"{len(self.coordinator.requests)} requests, {len(self.coordinator.attempts)} attempts, "
+            f"{self.workers.connections.open_connections} worker connections, "
+            f"{len(endpoint_list.worker_numbers)} known workers, "
+            f"{len(context.recent_request_ids) + len(context.peer_request_ids)} recent ids"
+        )
+
     def reconfigure(self, config: Config) -> None:
         """Use a new configuration in all components."""
         self.config = config
--- a/weldquay/net/dispatcher_process.py
+++ b/weldquay/net/dispatcher_process.py
@@ -17,6 +17,7 @@
 from weldquay.net.hot_restart_messages import NO_DESCRIPTOR, HotRestartMessage
 from weldquay.net.lifecycle import Phase
 from weldquay.net.loop_monitor import LoopMonitor
+from weldquay.net.memory_monitor import MemoryMonitor
 from weldquay.net.operators import OperatorServer
 from weldquay.net.process_migration import AddressConflict, ProcessMigration
 from weldquay.net.service_control import ServiceControl
@@ -88,27 +89,32 @@
             return 1
         gc.freeze()  # excludes the objects created so far from garbage collection
         LoopMonitor(self.counters).start(self.tasks)
+        memory = MemoryMonitor(self.counters, self.config.memory_mb, self.components.describe_memory)
+        memory.start(self.tasks)
         await self.lifecycle.shutdown_requested.wait()
         await self.shut_down()
+        memory.check()
         self.print_counters()
+        log.info("%s ended by itself after %s", self.config.name, self.lifecycle.shutdown_reason)
         # The SIGHUP handler is removed with the loop; the default action would kill the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         return 0
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.request_shutdown)
-        loop.add_signal_handler(signal.SIGINT, self.request_shutdown)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_shutdown, number.name)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self.reloader.requested.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
-    def request_shutdown(self) -> None:
-        """Make `run` start the graceful shutdown."""
-        self.lifecycle.request_shutdown()
+    def request_shutdown(self, reason: str = "a request") -> None:
+        """Make `run` start the graceful shutdown; reason: appears in the log."""
+        self.lifecycle.request_shutdown(reason)
 
     def print_counters(self) -> None:
-        """Log the counters."""
+        """Log the counters and what holds memory."""
+        log.info("memory is held by: %s", self.components.describe_memory())
         log.info("counters %s", self.counters.as_json())
 
     async def start(self) -> None:
--- a/weldquay/net/lifecycle.py
+++ b/weldquay/net/lifecycle.py
@@ -34,19 +34,22 @@
         self.started_at = time.monotonic()  # seconds, monotonic clock
         self.shutdown_requested = asyncio.Event()
         self.shutdown_requested_at = 0.0  # seconds, monotonic clock; 0: not requested
+        self.shutdown_reason = ""
 
     def enter(self, phase: Phase) -> None:
         """Enter a phase and log it."""
         self.phase = phase
         log.info("%s is %s", self.name, phase.value)
 
-    def request_shutdown(self) -> None:
+    def request_shutdown(self, reason: str) -> None:
         """Request the shutdown.
 
         The time of the first request counts, even during the start: the platform sends SIGKILL some time
         after its first SIGTERM.
         """
         self.shutdown_requested_at = self.shutdown_requested_at or time.monotonic()
+        self.shutdown_reason = self.shutdown_reason or reason
+        log.info("%s got %s while %s", self.name, reason, self.phase.value)
         self.shutdown_requested.set()
 
     @property
--- a/weldquay/net/messages/__init__.py
+++ b/weldquay/net/messages/__init__.py
@@ -6,6 +6,8 @@
 
 from weldquay.net.messages.callbacks import Callback, parse_callback
 from weldquay.net.messages.client_requests import (
+    CORRELATION_ID,
+    MAX_ID_LENGTH,
     RequestMetadata,
     format_retry_after,
     parse_class_name,
@@ -35,7 +37,9 @@
 from weldquay.net.messages.request_head import RequestHead, reduce_head
 
 __all__ = [
+    "CORRELATION_ID",
     "MAX_BODY_BYTES",
+    "MAX_ID_LENGTH",
     "Body",
     "Callback",
     "Endpoint",
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -11,6 +11,8 @@
 from weldquay.net.connection_state import ConnectionState
 from weldquay.net.http_channel import HttpChannel
 from weldquay.net.messages import (
+    CORRELATION_ID,
+    MAX_ID_LENGTH,
     MessageError,
     RequestHead,
     closing_response,
@@ -22,6 +24,7 @@
     parse_request_metadata,
 )
 from weldquay.net.read_ahead import ReadAhead
+from weldquay.net.request_log import RequestEvent
 from weldquay.net.requests import AcceptedRequest, ClientRequest, Completed, Rejected, RequestResult
 
 log = logging.getLogger(__name__)
@@ -156,18 +159,19 @@
         metadata = parse_request_metadata(request.headers)
         if context.is_rejecting:
             context.counters.add("requests_out_of_service")
-            self.reject_overload()
+            self.reject_overload("the dispatcher is out of service or ends")
             return
         if context.has_request(metadata.id):
             self.reject(409, "a request with this id is open or was sent")
             return
         if self.connection.has_client_left():
             context.counters.add("requests_of_disconnected_clients")
+            self._log(RequestEvent.CLIENT_LEFT, "before the request was submitted")
             self.connection.start_lingering_close()
             return
         if context.buffer_budget.is_exceeded:
             context.counters.add("requests_rejected_for_memory")
-            self.reject_overload()
+            self.reject_overload("all connections together hold too much")
             return
         payload = job_payload(request, self.channel.body)
         self.read_ahead.set_size(self.channel.receiver.held_bytes)
@@ -175,7 +179,7 @@
             job_class, metadata, payload, self._respond_with_result
         )
         if self.open_request is None:
-            self.reject_overload()
+            self.reject_overload("too many requests are open (caps.max_open)")
         else:
             self.open_request.has_client_left = self.connection.has_client_left
             context.add_open_id(metadata.id)
@@ -204,8 +208,15 @@
         else:
             self._respond(502, b"failed")
 
-    def reject_overload(self) -> None:
-        """Respond with 503 and the longest Retry-After of the settings."""
+    def _log(self, event: RequestEvent, reason: str) -> None:
+        """Log why the current request was not served."""
+        request = self.channel.request
+        request_id = dict(request.headers).get(CORRELATION_ID, b"") if request is not None else b""
+        self.context.counters.request_log.write(event, request_id.decode("latin-1")[:MAX_ID_LENGTH], reason)
+
+    def reject_overload(self, reason: str) -> None:
+        """Respond with 503 and the longest Retry-After of the settings; reason: appears in the log."""
+        self._log(RequestEvent.REFUSED, reason)
         self._respond_overload(self.context.config.settings.max_retry_after_ns)
 
     def _respond_overload(self, retry_after_ns: int) -> None:
@@ -234,6 +245,7 @@
         The text of an error of h11 contains the whole malformed line, so it is cut.
         """
         self.context.counters.add(f"http_errors_{status}")
+        self._log(RequestEvent.REFUSED, f"{status}, {reason[:MAX_REASON_LENGTH]}")
         self._respond_and_close(status, reason[:MAX_REASON_LENGTH].encode())
 
     def _respond_and_close(self, status: int, body: bytes) -> None:
--- a/weldquay/net/request_table.py
+++ b/weldquay/net/request_table.py
@@ -9,6 +9,7 @@
 from weldquay import interface as api
 from weldquay.net.counters import Counters
 from weldquay.net.event_queue import EventQueue
+from weldquay.net.request_log import RequestEvent
 from weldquay.net.requests import ClientRequest, Completed, Failed, Rejected, RequestResult
 
 log = logging.getLogger(__name__)
@@ -56,16 +57,36 @@
         if request is not None and request.is_open:
             self.close(request)
             self._counters.add(RESULT_COUNTERS[type(result)])
+            self._log_result(request, result)
             try:
                 request.on_result(result)
             except Exception:  # the tables and the decision module still have to record the end
                 log.exception("the result of request %s was not delivered", request.id)
                 self._counters.add("results_undelivered")
 
+    def _log_result(self, request: ClientRequest, result: RequestResult) -> None:
+        """Log a result other than the job's own."""
+        if isinstance(result, Completed):
+            return
+        event = RequestEvent.REJECTED if isinstance(result, Rejected) else RequestEvent.FAILED
+        remaining_ms = (request.deadline_ns - time.monotonic_ns()) / 1e6
+        self._counters.request_log.write(
+            event,
+            request.id,
+            f"{remaining_ms:.0f} ms before its deadline, after {request.attempts_started} attempts, "
+            f"{'possibly' if request.may_have_been_executed else 'never'} executed",
+        )
+
     def disconnect(self, request: ClientRequest) -> None:
         """End a request whose client disconnected before the result."""
         if request.is_open:
             self._counters.add("clients_disconnected")
+            remaining_ms = (request.deadline_ns - time.monotonic_ns()) / 1e6
+            self._counters.request_log.write(
+                RequestEvent.CLIENT_LEFT,
+                request.id,
+                f"{remaining_ms:.0f} ms before its deadline, after {request.attempts_started} attempts",
+            )
             self.close(request)
             self._events.enqueue(api.ClientDisconnected(request.number))
 
