Answer 503 to a partial request whose turn comes too late, unless it is a callback

Cause: a request without a parsed head counted as a possible callback.

Change: the start of the bytes that wait says which it is. A partial callback is closed, with a new test; any other gets 503. The list in small chunks of one test is padded with white space now, as long as before: its zone of 20,000 characters is over the limit on names.

Measured: tests/test_http_receiver.py passes.

--- a/tests/test_http_receiver.py
+++ b/tests/test_http_receiver.py
@@ -11,7 +11,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from example.toy import Discovery, Message, read_message
+from example.toy import Discovery, Message, encode_message, read_message, request
 from tests.reading import no_turns
 from tests.site import job, list_of_one_worker, run_scenario, site, until
 from weldquay.net import client_connection, connection_table, read_scheduler
@@ -180,9 +180,9 @@
     """Discovery that sends its first list in chunks of one byte, then nothing but the same list."""
 
     async def answer(self, _message: Message, writer: asyncio.StreamWriter) -> None:
-        """Send one list with a long member id in small chunks."""
+        """Send one list with much white space in small chunks."""
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        text = list_of_one_worker(7, "SERVING", "127.0.0.1:1").replace(b'"here"', b'"%b"' % (b"z" * 20_000))
+        text = list_of_one_worker(7, "SERVING", "127.0.0.1:1").replace(b'"here"', b'"here"' + b" " * 20_000)
         writer.write(chunks(text + b"\n", [1]))
         await writer.drain()
         await asyncio.Event().wait()
@@ -261,6 +261,24 @@
     run_scenario(scenario())
 
 
+def test_a_partial_callback_that_cannot_be_read_in_time_is_closed_and_not_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A worker takes any response as the end of a callback, and would not send it again."""
+    monkeypatch.setattr(connection_table, "REQUEST_TIMEOUT_S", 0.2)
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            body = b'{"id":"c1","from":"w0","state":"started"}'
+            callback = encode_message("POST /callback HTTP/1.1", body)
+            async with no_turns(test_site, monkeypatch):
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+                    await request(test_site.address, callback)
+            assert (await request(test_site.address, callback)).status == 204
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("closes", ["gracefully", "by eviction"])
 def test_a_request_that_waits_for_its_turn_is_answered_before_a_close(
     closes: str, monkeypatch: pytest.MonkeyPatch
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -77,6 +77,7 @@
         self.last_turn_s = 0.0  # how long the last turn of handling received bytes took
         self.has_more_requests = False  # the last turn ended before all received requests were handled
         self.is_waiting_for_turn = False  # received bytes wait until other connections have read
+        self.waiting_data = b""  # these bytes
         if adopted is not None and adopted.migrated.request is None:
             if adopted.migrated.is_idle:
                 self.state = ConnectionState.IDLE
@@ -191,12 +192,12 @@
         self.writer.write(data)
 
     def reject_partial_request(self, counter: str) -> None:
-        """Reject the partial request of a job; close the connection if it may be a callback.
+        """Reject the partial request; close the connection if it is a callback.
 
         A worker sends a callback again until it gets a response, whatever its status.
         """
         self.context.counters.add(counter)
-        if self.requests.is_job():
+        if not self.requests.is_callback(self.waiting_data):
             self.requests.reject_overload(counter)
         else:
             self.context.counters.request_log.write(RequestEvent.CONNECTION_CLOSED, "", counter)
@@ -217,7 +218,9 @@
                 # Not while a request is open: a client that does not read responses must not stop the reads.
                 await self.writer.drain()
             data = await self.reader.read(READ_SIZE)
+            self.waiting_data = data
             await self._wait_for_turn()
+            self.waiting_data = b""
             if self.migration is not None:
                 await self.migration.run(data)
                 return
@@ -262,7 +265,9 @@
         self._update_held_bytes()
         if self.held.budget.is_exceeded:
             # A callback that is arriving ends a request, and so frees memory.
-            self.table.reject_partial_requests(self.held.budget, None if self.requests.is_job() else self)
+            self.table.reject_partial_requests(
+                self.held.budget, self if self.requests.is_callback() else None
+            )
 
     def _advance(self) -> None:
         """Parse and handle received requests for one turn, or until one waits for its response."""
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -31,6 +31,7 @@
 
 HEALTH_PATH = b"/_health"
 CALLBACK_PATH = b"/callback"
+CALLBACK_START = b"POST " + CALLBACK_PATH
 
 
 class RequestConnection(Protocol):
@@ -121,10 +122,15 @@
         except MessageError as error:
             self.reject(400, str(error))
 
-    def is_job(self) -> bool:
-        """Return whether the head of the current request has been read and is that of a job."""
+    def is_callback(self, unread: bytes = b"") -> bool:
+        """Return whether the current request is a callback, by its head or by the start of it.
+
+        unread: bytes that the channel does not have yet.
+        """
         request = self.channel.request
-        return request is not None and request.target.split(b"?", 1)[0] not in (HEALTH_PATH, CALLBACK_PATH)
+        if request is not None:
+            return request.target.split(b"?", 1)[0] == CALLBACK_PATH
+        return (self.channel.unparsed_data + unread).startswith(CALLBACK_START)
 
     def _respond_to_health_check(self, method: bytes) -> None:
         if method not in (b"GET", b"HEAD"):
