--- a/tests/test_peer_tables.py
+++ b/tests/test_peer_tables.py
@@ -17,10 +17,11 @@
 from weldquay.net import endpoint_list_adapter, service_control
 from weldquay.net.hot_restart_messages import EndpointListChunk
 from weldquay.net.json_stream import MAX_VALUE_BYTES, JsonStreamParser
-from weldquay.net.messages import MessageError
+from weldquay.net.messages import MAX_BODY_BYTES, MessageError, parse_callback, parse_endpoint_list
 from weldquay.net.name_numbers import assign_numbers
 
 MAX_PARSED_BYTES = 64 * 1024 * 1024
+MAX_CALLBACK_BYTES = 4 * 1024 * 1024
 MAX_FEED_S = 2.0
 
 
@@ -53,8 +54,6 @@
 
 def test_the_longest_allowed_list_takes_bounded_memory() -> None:
     """The value as objects, and the list made of it."""
-    from weldquay.net.messages import parse_endpoint_list
-
     value = list_value(1, 0, MAX_ENDPOINTS, is_complete=True)
     tracemalloc.start()
     (parsed,) = JsonStreamParser().feed(value + b"\n")
@@ -64,6 +63,18 @@
     assert peak_bytes < MAX_PARSED_BYTES
 
 
+@pytest.mark.parametrize("part", [b"{},", b"[],", b'"ab",', b"1234567,"])
+def test_the_objects_of_a_callback_are_bounded(part: bytes) -> None:
+    """A callback of the longest body, whose objects are freed once it is parsed."""
+    head, end = b'{"id":"c1","from":"w0","state":"started","more":[', b"0]}"
+    body = head + part * ((MAX_BODY_BYTES - len(head) - len(end)) // len(part)) + end
+    tracemalloc.start()
+    assert parse_callback(body, {}).id == "c1"
+    held_bytes, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < MAX_CALLBACK_BYTES and held_bytes < MAX_BODY_BYTES
+
+
 def test_heartbeats_that_arrive_together_are_one() -> None:
     """Discovery could otherwise queue an event for each byte that it sends."""
     parser = JsonStreamParser()
