Read nothing before the requests that were read ahead are handled

Cause: bytes that arrive between two requests were not checked against the limit on read-ahead, and with turns a connection read mostly then.

Change: has_more_requests is set when a response leaves unparsed bytes, and the read loop handles them first. A connection that has ended is not counted in the budget.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import subprocess
+import sys
 import time
 from datetime import datetime
+from pathlib import Path
 
 import pytest
 
+from weldquay.lab.soak import shim
 from weldquay.lab.soak.clients import RequestOutcome, SentRequest
 from weldquay.lab.soak.held_requests import (
     LEASE_EXPIRED_TEXT,
@@ -19,6 +24,7 @@
     intervals_without_lease,
     is_held_request,
 )
+from weldquay.lab.soak.misuse import LIMITS, draw_misuse_plan
 from weldquay.lab.soak.plan import (
     CONNECTION_FLOOD_FRACTION,
     DiscoveryFault,
@@ -27,6 +33,10 @@
     draw_plan,
 )
 from weldquay.lab.soak.round import run_plan
+from weldquay.lab.soak.shim import ERRORS, FIRED_TEXT, Call, CallFault
+from weldquay.lab.stress.crowds import CrowdBehaviour
+from weldquay.lab.stress.fast_peer import FastBehaviour
+from weldquay.lab.stress.leavers import LeaverBehaviour
 
 # In this order: a drain during a brief recovery of discovery, SIGTERM right after a start, a connection
 # flood, repeated discovery outages, and silent watches.
@@ -117,3 +127,78 @@
     assert {fault.fault for plan in plans for fault in plan.worker_faults} == set(WorkerFault)
     assert {plan.discovery_fault for plan in plans} == set(DiscoveryFault)
     assert 0 < sum(plan.has_connection_flood for plan in plans) < 2 * CONNECTION_FLOOD_FRACTION * len(plans)
+
+
+# In this order: see `python -m weldquay.lab.soak --misuse --seed N`, which prints the plan of a seed.
+MISUSE_SEEDS = [1, 2, 3]
+
+
+@pytest.mark.parametrize("seed", MISUSE_SEEDS)
+def test_soak_round_with_misbehaving_clients_violates_no_rule(seed: int) -> None:
+    """Crowds, a fast peer, clients that leave, kills, a stepped clock and failing system calls."""
+    plan = draw_misuse_plan(seed)
+    result = asyncio.run(run_plan(plan))
+    print(plan.describe(), result.summary(), *result.violations, sep="\n")
+    assert not result.violations, f"python -m weldquay.lab.soak --misuse --seed {seed}"
+    assert result.statuses[200] > 0
+
+
+def test_misuse_plan_depends_only_on_the_seed() -> None:
+    """The first fifty seeds cover all behaviours, all failing calls, kills and limits."""
+    plans = [draw_misuse_plan(seed) for seed in range(1, 51)]
+    assert plans == [draw_misuse_plan(seed) for seed in range(1, 51)]
+    misuses = [plan.misuse for plan in plans if plan.misuse is not None]
+    behaviours = {each.behaviour for misuse in misuses for each in misuse.misuses}
+    assert behaviours == {*CrowdBehaviour, *FastBehaviour, *LeaverBehaviour}
+    calls = {fault.call for misuse in misuses for faults in misuse.call_faults for fault in faults}
+    assert calls == set(Call) and any(misuse.kill_at_s is not None for misuse in misuses)
+    assert {(misuse.memory_mb, misuse.sockets) for misuse in misuses} == set(LIMITS)
+
+
+@pytest.mark.parametrize(
+    ("call", "code"),
+    [
+        (Call.ACCEPT, "socket.create_server(('127.0.0.1', 0)).accept()"),
+        (Call.CONNECT, "socket.create_connection(('127.0.0.1', 9))"),
+        (Call.STATE_FILE, "pathlib.Path('f').write_bytes(b'')"),
+        (
+            Call.RECEIVE,
+            "s = socket.create_server(('127.0.0.1', 0)); "
+            "c = socket.socket(); c.connect(s.getsockname()); c.setblocking(False); c.recv(1)",
+        ),
+    ],
+    ids=lambda value: value.name.lower() if isinstance(value, Call) else "",
+)
+def test_a_call_fault_fires(call: Call, code: str, tmp_path: Path) -> None:
+    """The call fails with the drawn error, once the fault has started."""
+    fault = CallFault(call, 0.0, 60.0, 1.0, ERRORS[call][0])
+    process = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            f"import socket, pathlib\ntry:\n    {code}\nexcept OSError as e: print(e.errno)",
+        ],
+        env={**os.environ, **shim.environment((fault,))},
+        cwd=tmp_path,
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert process.stdout.strip() == str(ERRORS[call][0])
+    assert f"{FIRED_TEXT} {call.name}" in process.stderr
+
+
+def test_the_wall_clock_is_stepped_and_the_monotonic_clock_runs_on() -> None:
+    """Both clocks of the process, in seconds and in nanoseconds."""
+    fault = CallFault(Call.WALL_CLOCK, 0.0, 60.0, 1.0, 3600)
+    code = "import time; print(time.time(), time.time_ns() / 1e9, time.monotonic())"
+    process = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, **shim.environment((fault,))},
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    wall_s, wall_ns_s, monotonic_s = map(float, process.stdout.split())
+    assert abs(wall_s - time.time() - 3600) < 60 and abs(wall_ns_s - wall_s) < 60
+    assert abs(monotonic_s - time.monotonic()) < 60
--- a/tests/test_stress.py
+++ b/tests/test_stress.py
@@ -31,6 +31,7 @@
         (FastBehaviour.CALLBACKS, SCORED_DAY),
         (FastBehaviour.LONG_CHUNK_EXTENSIONS, SCORED_DAY),
         (FastBehaviour.LONG_JOBS, SMALL),
+        (FastBehaviour.SHORT_JOBS, PlaySettings(memory_mb=48, sockets=256, duration_s=4.0)),
         (LeaverBehaviour.RESET, SCORED_DAY),
         (LeaverBehaviour.SAME_ID, SCORED_DAY),
     ],
--- a/weldquay/lab/soak/checks.py
+++ b/weldquay/lab/soak/checks.py
@@ -26,12 +26,23 @@
     dispatchers: list[SoakDispatcher]
     client_timeout_s: float
     has_connection_flood: bool
+    memory_mb: float | None = None  # the memory limit of the dispatchers; None: not checked
+
+    def was_killed(self, request: SentRequest) -> bool:
+        """Return whether the request's dispatcher was killed while it was open."""
+        kills = [each.kills for each in self.dispatchers if each.address == request.dispatcher]
+        return any(
+            started_at <= request.ended_at and request.sent_at <= ended_at
+            for started_at, ended_at in (kills[0] if kills else [])
+        )
 
 
 def check_answers(records: Records) -> list[str]:
     """Check that each request gets one response in time, and that a 200 has the result of its own job."""
     violations = []
     for request in records.requests:
+        if records.was_killed(request):
+            continue
         took_s = request.ended_at - request.sent_at
         if request.outcome in (RequestOutcome.UNANSWERED, RequestOutcome.TRUNCATED):
             violations.append(f"{request.request_id}: {request.outcome.value} after {took_s:.2f} s")
@@ -57,7 +68,7 @@
     terminations = {dispatcher.address: dispatcher.terminations for dispatcher in records.dispatchers}
     violations = []
     for request in records.requests:
-        if request.outcome is not RequestOutcome.CLOSED_UNANSWERED:
+        if request.outcome is not RequestOutcome.CLOSED_UNANSWERED or records.was_killed(request):
             continue
         was_terminating = any(
             started_at <= request.ended_at and request.sent_at <= ended_at + 0.1
@@ -123,10 +134,15 @@
     ]
     violations += log.not_ready + log.failed_starts + log.not_recovered
     violations += [
-        f"{dispatcher.name}: {count} tracebacks in its logs"
+        f"{dispatcher.name}: {count} tracebacks in its logs: {dispatcher.last_lines_of_tracebacks()}"
         for dispatcher in records.dispatchers
         if (count := dispatcher.count_tracebacks())
     ]
+    violations += [
+        f"{dispatcher.name}: peak memory {dispatcher.peak_mb:.0f} MB of {records.memory_mb:.0f} MB"
+        for dispatcher in records.dispatchers
+        if records.memory_mb is not None and dispatcher.peak_mb > records.memory_mb
+    ]
     return violations
 
 
--- a/weldquay/lab/soak/plan.py
+++ b/weldquay/lab/soak/plan.py
@@ -6,6 +6,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from weldquay.lab.soak.shim import CallFault
+from weldquay.lab.stress.crowds import CrowdBehaviour
+from weldquay.lab.stress.fast_peer import FastBehaviour
+from weldquay.lab.stress.leavers import LeaverBehaviour
+
 DISPATCHERS = 2
 WORKERS = 4
 FAULT_PHASE_S = 9.0  # minimum duration of the phase in which faults occur
@@ -55,6 +60,56 @@
     duration_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TimedMisuse:
+    """Misbehaving clients of the dispatcher `number`; clients: the size of a crowd."""
+
+    start_s: float
+    number: int
+    behaviour: CrowdBehaviour | FastBehaviour | LeaverBehaviour
+    duration_s: float
+    clients: int
+
+
+@dataclass(frozen=True, slots=True)
+class MisusePlan:
+    """The additional part of a round with misbehaving clients.
+
+    Attributes:
+        misuses: the misbehaving clients.
+        memory_mb: the memory limit of the dispatchers.
+        sockets: their limit on descriptors.
+        kill_at_s: when a dispatcher gets SIGKILL, from the start of the fault phase; None: none does.
+        killed: the number of that dispatcher.
+        call_faults: the failing system calls of each dispatcher's processes.
+    """
+
+    misuses: tuple[TimedMisuse, ...]
+    memory_mb: int
+    sockets: int
+    kill_at_s: float | None
+    killed: int
+    call_faults: tuple[tuple[CallFault, ...], ...]
+
+    def describe(self) -> list[str]:
+        """Return a description with one line per fault."""
+        lines = [f"limits {self.memory_mb} MB, {self.sockets} descriptors"]
+        lines += [
+            f"{each.start_s:5.2f} s clients of dispatcher {each.number}: {each.behaviour.value}, "
+            f"{each.duration_s:.2f} s, crowds of {each.clients}"
+            for each in self.misuses
+        ]
+        if self.kill_at_s is not None:
+            lines.append(f"{self.kill_at_s:5.2f} s dispatcher {self.killed}: SIGKILL")
+        for number, faults in enumerate(self.call_faults):
+            lines += [
+                f"{fault.start_s:5.2f} s after its starts dispatcher {number}: {fault.call.value} "
+                f"{fault.value}, {fault.duration_s:.2f} s, {fault.probability:.0%}"
+                for fault in faults
+            ]
+        return lines
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """The plan of a round; discovery_durations_s: durations of the phases of the discovery fault."""
@@ -67,6 +122,7 @@
     discovery_fault: DiscoveryFault
     discovery_start_s: float
     discovery_durations_s: tuple[float, ...]
+    misuse: MisusePlan | None = None
 
     def describe(self) -> str:
         """Return a description with one line per fault."""
@@ -83,7 +139,7 @@
                 f"{each.start_s:5.2f} s {kind} {each.number}: {each.fault.value}, {each.duration_s:.2f} s"
                 for each in faults
             ]
-        return "\n".join(lines)
+        return "\n".join(lines + (self.misuse.describe() if self.misuse else []))
 
 
 def draw_plan(seed: int) -> Plan:
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -103,8 +103,11 @@
             self.lingering_close = LingeringClose(self.reader, self.writer, self.state_entered_at)
             self.channel.release()
             self._update_held_bytes()
-        elif state is ConnectionState.IDLE and self.context.migrate_connection is not None:
-            asyncio.get_running_loop().call_soon(self.start_migration)
+        elif state is ConnectionState.IDLE:
+            # Nothing more is read before the requests that have been read ahead are handled.
+            self.has_more_requests = self.channel.has_unparsed_data
+            if self.context.migrate_connection is not None:
+                asyncio.get_running_loop().call_soon(self.start_migration)
 
     def start_lingering_close(self) -> None:
         """Close once all written data has been sent."""
@@ -205,6 +208,9 @@
             self.abort()
 
     def _update_held_bytes(self) -> None:
+        """Count what the connection holds, until it has ended."""
+        if self not in self.table.connections:
+            return
         self.held.set_size(self.channel.held_bytes + self.writer.transport.get_write_buffer_size())
 
     async def run(self) -> None:
@@ -217,6 +223,7 @@
             if self.requests.open_request is None:
                 # Not while a request is open: a client that does not read responses must not stop the reads.
                 await self.writer.drain()
+            await self._handle_remaining_requests()
             data = await self.reader.read(READ_SIZE)
             self.waiting_data = data
             await self._wait_for_turn()
@@ -228,7 +235,6 @@
                 break
             self._receive(data)
             data = b""
-            await self._handle_remaining_requests()
         if self.lingering_close is not None:
             await self.lingering_close.drain()
 
@@ -272,14 +278,19 @@
     def _advance(self) -> None:
         """Parse and handle received requests for one turn, or until one waits for its response."""
         started_at = time.monotonic()
-        self.has_more_requests = False
-        self._advance_until(started_at + MAX_TURN_S)
+        is_turn_over = self._advance_until(started_at + MAX_TURN_S)
+        self.has_more_requests = (
+            is_turn_over and self.requests.open_request is None and self.channel.has_unparsed_data
+        )
         self.last_turn_s = time.monotonic() - started_at
         self.context.read_scheduler.record(self.last_turn_s)
         self.context.counters.record_peak("longest_client_read_ms", self.last_turn_s * 1000)
 
-    def _advance_until(self, turn_ends_at: float) -> None:
-        """Parse and handle received requests; turn_ends_at: on the monotonic clock (s)."""
+    def _advance_until(self, turn_ends_at: float) -> bool:
+        """Parse and handle received requests; return whether the turn ended before all were handled.
+
+        turn_ends_at: on the monotonic clock (s).
+        """
         requests = self.requests
         while requests.open_request is None and not self.is_lingering and self.migration is None:
             progress = self.channel.advance()
@@ -288,8 +299,7 @@
             elif progress is Progress.REQUEST:
                 requests.handle()
                 if time.monotonic() >= turn_ends_at:
-                    self.has_more_requests = self.channel.has_unparsed_data and requests.open_request is None
-                    return
+                    return True
             elif progress is Progress.CLOSED:
                 self.start_lingering_close()
             else:
@@ -299,7 +309,8 @@
                     self.channel.request or self.channel.has_unparsed_data
                 ):
                     self.enter(ConnectionState.READING)
-                return
+                break
+        return False
 
     async def resume(self) -> None:
         """Handle the requests already in the buffer, once the client has read its earlier responses.
--- a/weldquay/net/client_server.py
+++ b/weldquay/net/client_server.py
@@ -266,5 +266,9 @@
     async def _enforce_timeouts(self) -> None:
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
-            self.table.enforce_timeouts(time.monotonic())
-            self.table.drop_abandoned()
+            try:
+                self.table.enforce_timeouts(time.monotonic())
+                self.table.drop_abandoned()
+            except Exception:  # one connection must not end the timeouts of all others
+                log.exception("enforcing the timeouts of client connections failed")
+                self.context.counters.add("client_timeouts_failed")
--- a/weldquay/net/lingering_close.py
+++ b/weldquay/net/lingering_close.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 READ_SIZE = 16 * 1024  # bytes
 MAX_DISCARDED_BYTES = 1024 * 1024  # limit for each lingering close
@@ -23,7 +24,8 @@
         self.started_at = now
         self.unsent_bytes = self._count_unsent_bytes()
         if writer.can_write_eof() and not writer.is_closing():
-            writer.write_eof()
+            with suppress(OSError):  # the client has reset the connection, which is not read yet
+                writer.write_eof()
 
     def _count_unsent_bytes(self) -> int:
         return self.writer.transport.get_write_buffer_size()
