Let an attempt wait until what its client sent behind the request is read

Seen by callers: clients with a megabyte of pipelined jobs that left while accept was failing had a job sent 0.5 to 0.9 s after they left.

Cause: the end of a stream cannot arrive before the bytes in front of it are read, so the system does not know yet that the client left.

Change: before an attempt starts, it waits for up to 0.1 s while its client's connection has unread bytes.

--- a/tests/test_client_disconnections.py
+++ b/tests/test_client_disconnections.py
@@ -305,3 +305,27 @@
 def completion(request_id: str) -> Callback:
     """Return the callback that completes a job of worker w0."""
     return Callback(request_id, "w0", api.Outcome.OK, result="done")
+
+
+def test_a_request_with_megabytes_unread_behind_it_is_not_sent_after_its_client_has_left() -> None:
+    """The end of the stream cannot arrive before the bytes in front of it are read."""
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            worker = test_site.workers[0]
+            assert (await test_site.post("first")).body == b"TEXT"  # later attempts need no probe
+            for number in range(5):
+                sock = socket.create_connection(("127.0.0.1", test_site.process.server.port))
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * 1024 * 1024)
+                sock.setblocking(False)
+                sent = sock.send(
+                    job(f"c{number}") + b"x" * 4_000_000
+                )  # the event loop does not run meanwhile
+                assert sent > 1_000_000
+                sock.close()
+            await asyncio.sleep(0.5)
+            assert (await test_site.post("last")).body == b"TEXT"
+            ids = [m.headers["x-correlation-id"] for m in worker.received if m.method == "POST"]
+            assert ids == ["first", "last"]
+
+    asyncio.run(scenario())
--- a/weldquay/net/attempt_runner.py
+++ b/weldquay/net/attempt_runner.py
@@ -32,6 +32,8 @@
 # Limit from connecting to the response.  Workers accept or reject within 50 ms, or 250 ms if they pause.
 ACCEPT_TIMEOUT_S = 0.6
 LATE_RESPONSE_S = 2.0  # how long after the callback that ended the attempt its 202 may arrive
+UNREAD_DATA_WAIT_S = 0.1
+UNREAD_DATA_POLL_S = 0.002
 
 ACCEPTED = 202
 
@@ -95,6 +97,7 @@
         cancellations = self._cancellation.pending(request.id, worker if self._may_hedge else None)
         if cancellations:
             await asyncio.wait(cancellations)
+        await self._wait_for_unread_data(request)
         remaining_ns = attempt.deadline_ns - time.monotonic_ns()
         timeout_s = ACCEPT_TIMEOUT_S if request.is_idempotent else remaining_ns / 1e9 + LATE_RESPONSE_S
         timeout = PeerTimeout(timeout_s)
@@ -115,6 +118,16 @@
             if response.status != ACCEPTED:  # after a 202 the worker's callbacks end the attempt
                 self._on_rejection(attempt, response)
 
+    async def _wait_for_unread_data(self, request: ClientRequest) -> None:
+        """Wait until the bytes that the client has sent behind its request are read, but not for long.
+
+        A client that closes its connection with much unread has left, although the end of its stream can
+        arrive only once there is room for it.
+        """
+        give_up_at = time.monotonic() + UNREAD_DATA_WAIT_S
+        while request.is_open and request.has_unread_data() and time.monotonic() < give_up_at:  # noqa: ASYNC110
+            await asyncio.sleep(UNREAD_DATA_POLL_S)
+
     async def _send(
         self, worker: WorkerEndpoint, connection: WorkerConnection, attempt: Attempt
     ) -> WorkerResponse:
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -51,6 +51,9 @@
     def has_client_left(self) -> bool:
         """Return whether the client has closed the connection, also if that is not read yet."""
 
+    def has_unread_data(self) -> bool:
+        """Return whether bytes have arrived that are not read yet."""
+
     def resume(self) -> Coroutine[Any, Any, None]:
         """Handle requests that were already received."""
 
@@ -73,6 +76,10 @@
         """Return True."""
         return True
 
+    def has_unread_data(self) -> bool:
+        """Return False."""
+        return False
+
     async def resume(self) -> None:
         """Do nothing; no request is handled any more."""
 
@@ -155,6 +162,7 @@
         self.open_request = accepted.request
         accepted.request.on_result = self._respond_with_result
         accepted.request.has_client_left = self.connection.has_client_left
+        accepted.request.has_unread_data = self.connection.has_unread_data
         self.connection.enter(ConnectionState.WAITING)
         for result in accepted.results:
             self._respond_with_result(result)
@@ -188,6 +196,7 @@
             self.reject_overload("too many requests are open (caps.max_open)")
         else:
             self.open_request.has_client_left = self.connection.has_client_left
+            self.open_request.has_unread_data = self.connection.has_unread_data
             context.add_open_id(metadata.id)
             self.connection.enter(ConnectionState.WAITING)
 
--- a/weldquay/net/requests.py
+++ b/weldquay/net/requests.py
@@ -64,6 +64,9 @@
     late_outcomes: LateOutcomes = field(default_factory=LateOutcomes)  # of the attempts that have ended
     deadline_timer: asyncio.TimerHandle | None = None  # finishes the request after its deadline
     has_client_left: Callable[[], bool] = _never  # asks the system, which knows before the bytes are read
+    has_unread_data: Callable[[], bool] = (
+        _never  # whether the client has sent more, behind which it may leave
+    )
 
     @property
     def is_idempotent(self) -> bool:
