--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -48,6 +48,15 @@
     assert plan.buffered_bytes > plan.client_connections * 64 * 1024
 
 
+@pytest.mark.parametrize(("memory_mb", "connections"), [(24, 42), (32, 64), (40, 85), (64, 341)])
+def test_low_memory_limits_leave_connections_for_clients_and_callbacks(
+    memory_mb: int, connections: int
+) -> None:
+    """A limit near what the process itself takes is kept as long as its connections are idle."""
+    sockets = 128 if memory_mb == 24 else 1024
+    assert plan_memory(memory_mb, sockets).client_connections == connections
+
+
 def test_shares_add_up_to_the_budget() -> None:
     """A share that is released leaves nothing behind."""
     budget = BufferBudget(100)
--- a/weldquay/limits.py
+++ b/weldquay/limits.py
@@ -24,6 +24,7 @@
 CONNECTION_BYTES = 128 * 1024  # upper bound for one connection: its body, its read buffer and its objects
 BASE_MEMORY_MB = 32  # used by the process without clients, with the list of a small fleet
 IDLE_CONNECTION_BYTES = 16 * 1024  # objects of a connection without a request
+MIN_CLIENT_CONNECTIONS = 64  # however low the memory limit, as far as there are descriptors
 UNREAD_BYTES = 32 * 1024  # of one client connection, while reading is paused
 BUFFER_OVERHEAD = 1.5  # memory of the process for each byte that connections hold, with copies and fragments
 MIN_BUFFERED_BYTES = 512 * 1024  # received and unsent bytes of all connections, however low the memory limit
--- a/weldquay/net/memory_monitor.py
+++ b/weldquay/net/memory_monitor.py
@@ -16,7 +16,7 @@
 
 STATUS_PATH = Path("/proc/self/status")
 PEAK_FIELD = "VmHWM:"  # in KiB
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.5
 WARNING_FRACTIONS = (0.5, 0.6, 0.7, 0.8, 0.9, 1.0)  # of the limit; each is logged once
 
 
--- a/weldquay/net/memory_plan.py
+++ b/weldquay/net/memory_plan.py
@@ -9,6 +9,7 @@
     BUFFER_OVERHEAD,
     IDLE_CONNECTION_BYTES,
     MIN_BUFFERED_BYTES,
+    MIN_CLIENT_CONNECTIONS,
     READ_AHEAD_FRACTION,
     RESERVED_DESCRIPTORS,
     UNREAD_BYTES,
@@ -44,10 +45,8 @@
     available_bytes = max(0, memory_mb - BASE_MEMORY_MB) * MIB
     worker_connections = sockets * WORKER_DESCRIPTORS_IN_TENTHS // 10
     client_bytes = IDLE_CONNECTION_BYTES + UNREAD_BYTES
-    client_connections = min(
-        sockets - worker_connections - RESERVED_DESCRIPTORS, available_bytes // 2 // client_bytes
-    )
-    client_connections = max(MIN_CONNECTIONS, client_connections)
+    descriptors = max(MIN_CONNECTIONS, sockets - worker_connections - RESERVED_DESCRIPTORS)
+    client_connections = min(descriptors, max(MIN_CLIENT_CONNECTIONS, available_bytes // 2 // client_bytes))
     connections_bytes = client_connections * client_bytes + worker_connections * IDLE_CONNECTION_BYTES
     buffered_bytes = int((available_bytes - connections_bytes) / BUFFER_OVERHEAD)
     buffered_bytes = max(MIN_BUFFERED_BYTES, buffered_bytes)
