Abort an attempt whose client sends more than can be read, instead of sending it late

Seen: at a quarter of a core 3 of 17 jobs of clients that left with 1 MB unread were sent 0.15 s or more after the close.

Cause: an attempt waited 0.1 s for the unread bytes, then was sent all the same.

Change: it is aborted before its first byte, which counts against no worker, and goes on the retry rules; the system is asked first whether the client has left.

--- a/weldquay/net/attempt_runner.py
+++ b/weldquay/net/attempt_runner.py
@@ -97,12 +97,12 @@
         cancellations = self._cancellation.pending(request.id, worker if self._may_hedge else None)
         if cancellations:
             await asyncio.wait(cancellations)
-        await self._wait_for_unread_data(request)
         remaining_ns = attempt.deadline_ns - time.monotonic_ns()
         timeout_s = ACCEPT_TIMEOUT_S if request.is_idempotent else remaining_ns / 1e9 + LATE_RESPONSE_S
         timeout = PeerTimeout(timeout_s)
         try:
             async with timeout:
+                await self._wait_for_unread_data(request)
                 connection = await self._acquire_connection(worker, attempt)
                 response = await self._send(worker, connection, attempt)
         except AttemptAborted:
@@ -119,15 +119,24 @@
                 self._on_rejection(attempt, response)
 
     async def _wait_for_unread_data(self, request: ClientRequest) -> None:
-        """Wait until the bytes that the client has sent behind its request are read, but not for long.
+        """Wait until the bytes that the client has sent behind its request are read.
 
         A client that closes its connection with much unread has left, although the end of its stream can
         arrive only once there is room for it.
+        Raises AttemptAborted if the client sends more than can be read in UNREAD_DATA_WAIT_S.
         """
         give_up_at = time.monotonic() + UNREAD_DATA_WAIT_S
-        while request.is_open and request.has_unread_data() and time.monotonic() < give_up_at:  # noqa: ASYNC110
+        while self._is_wanted(request) and request.has_unread_data():
+            if time.monotonic() >= give_up_at:
+                raise AttemptAborted("the client has sent more than could be read")
             await asyncio.sleep(UNREAD_DATA_POLL_S)
 
+    def _is_wanted(self, request: ClientRequest) -> bool:
+        """Return whether the request is open; end it if the system knows that its client has left."""
+        if request.is_open and request.has_client_left():
+            self._coordinator.client_disconnected(request)
+        return request.is_open
+
     async def _send(
         self, worker: WorkerEndpoint, connection: WorkerConnection, attempt: Attempt
     ) -> WorkerResponse:
@@ -163,12 +172,9 @@
         safe retry may have passed.
         """
         now_ns = time.monotonic_ns()
-        request = attempt.request
-        if request.is_open and request.has_client_left():
-            self._coordinator.client_disconnected(request)
         return (
             now_ns < self._coordinator.endpoint_list.send_deadline_ns
-            and request.is_open
+            and self._is_wanted(attempt.request)
             and not attempt.has_ended
             and not worker.is_banned
             and worker.endpoint.state is api.WorkerState.READY
