Take the wait for capacity and for a turn from the time that a client has left

Seen by callers: at 48 MB, 256 descriptors, 300 clients with bodies in chunks of one byte, two usual answers came 0.54 and 0.56 s late.

Cause: deadlines count from when a request is handled, after its bytes waited for their turn or its connection for capacity.

Change: the wait is measured and subtracted when the request is submitted.

Measured: both new tests fail without the change.

--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -9,6 +9,7 @@
 import pytest
 
 from example.toy import Message, encode_message, read_message
+from tests.reading import no_turns
 from tests.site import ACCEPTED, job, run_scenario, site, until
 from weldquay.net import client_connection
 from weldquay.net.read_scheduler import (
@@ -20,6 +21,7 @@
 from weldquay.net.request_handler import RequestHandler
 
 REQUESTS = 1000
+MAX_TIME_LEFT_SLACK_MS = 150
 
 
 def callbacks(count: int) -> bytes:
@@ -113,3 +115,37 @@
         await asyncio.gather(*tasks, cancelled, return_exceptions=True)
 
     run_scenario(scenario())
+
+
+def test_the_time_that_a_request_waits_for_its_turn_is_not_told_to_the_worker(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The client's time runs while its bytes wait in this process."""
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            async with no_turns(test_site, monkeypatch):
+                response = asyncio.create_task(test_site.post("c1", timeout_ms=5000))
+                await asyncio.sleep(0.6)
+            assert (await response).body == b"TEXT"
+            (message,) = [m for m in test_site.workers[0].received if m.method == "POST"]
+            assert int(message.headers["x-time-left-ms"]) <= 4400 + MAX_TIME_LEFT_SLACK_MS
+
+    run_scenario(scenario())
+
+
+def test_the_time_that_a_connection_waits_for_capacity_is_not_told_to_the_worker() -> None:
+    """Its first request has been sent before the connection is counted."""
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            table = test_site.process.server.table
+            max_connections, table.max_connections = table.max_connections, 0
+            response = asyncio.create_task(test_site.post("c1", timeout_ms=5000))
+            await asyncio.sleep(0.6)
+            table.max_connections = max_connections
+            assert (await response).body == b"TEXT"
+            (message,) = [m for m in test_site.workers[0].received if m.method == "POST"]
+            assert int(message.headers["x-time-left-ms"]) <= 4400 + MAX_TIME_LEFT_SLACK_MS
+
+    run_scenario(scenario())
--- a/weldquay/net/client_connection.py
+++ b/weldquay/net/client_connection.py
@@ -78,6 +78,7 @@
         self.has_more_requests = False  # the last turn ended before all received requests were handled
         self.is_waiting_for_turn = False  # received bytes wait until other connections have read
         self.waiting_data = b""  # these bytes
+        self.waited_s = 0.0  # how long the last read bytes have waited for capacity and for their turn
         if adopted is not None and adopted.migrated.request is None:
             if adopted.migrated.is_idle:
                 self.state = ConnectionState.IDLE
@@ -219,12 +220,14 @@
         Raises:
             OSError: the connection is lost.
         """
+        capacity_wait_s = self.waited_s  # concerns the first bytes
         while not self.is_lingering:
             if self.requests.open_request is None:
                 # Not while a request is open: a client that does not read responses must not stop the reads.
                 await self.writer.drain()
             await self._handle_remaining_requests()
             data = await self.reader.read(READ_SIZE)
+            self.waited_s, capacity_wait_s = capacity_wait_s, 0.0
             self.waiting_data = data
             await self._wait_for_turn()
             self.waiting_data = b""
@@ -242,7 +245,9 @@
         """Wait if this iteration of the event loop has no time left, or the last turn was long."""
         if self.has_more_requests or self.context.read_scheduler.must_wait(self.last_turn_s):
             self.is_waiting_for_turn = True
+            started_at = time.monotonic()
             await self.context.read_scheduler.wait(self.last_turn_s)
+            self.waited_s += time.monotonic() - started_at
             self.is_waiting_for_turn = False
 
     async def _handle_remaining_requests(self) -> None:
--- a/weldquay/net/client_server.py
+++ b/weldquay/net/client_server.py
@@ -133,6 +133,7 @@
     ) -> None:
         """Serve a connection until it is closed."""
         counters = self.context.counters
+        accepted_at = time.monotonic()
         # A migrated connection has a descriptor already, and the older process has counted it.
         if not (self.table.ensure_capacity() or adopted is not None or await self._wait_for_capacity()):
             counters.add("client_connections_over_limit")
@@ -140,6 +141,7 @@
             return
         limit_receive_size(writer)
         connection = ClientConnection(self.context, self.table, reader, writer, adopted)
+        connection.waited_s = time.monotonic() - accepted_at
         counters.add("client_connections")
         try:
             await connection.run()
--- a/weldquay/net/request_coordinator.py
+++ b/weldquay/net/request_coordinator.py
@@ -90,8 +90,12 @@
         metadata: RequestMetadata,
         payload: object,
         on_result: Callable[[RequestResult], None],
+        waited_ns: int = 0,
     ) -> ClientRequest | None:
-        """Accept a client's request; return None if the limit of open requests is reached."""
+        """Accept a client's request; return None if the limit of open requests is reached.
+
+        waited_ns: how long the request has waited in this process; its client's time has run meanwhile.
+        """
         config = self.config
         if len(self.requests.by_number) >= config.max_open:
             self.counters.add("requests_over_limit")
@@ -102,6 +106,7 @@
         time_left_ns = metadata.time_left_ns
         if time_left_ns is None:
             time_left_ns = class_settings.client_timeout_ns
+        time_left_ns = max(0, time_left_ns - waited_ns)
         now_ns = time.monotonic_ns()
         request = ClientRequest(
             metadata.id,
--- a/weldquay/net/request_handler.py
+++ b/weldquay/net/request_handler.py
@@ -38,6 +38,7 @@
     """The connection, as the handler uses it."""
 
     state: ConnectionState
+    waited_s: float  # how long the last read bytes have waited for capacity and for their turn
 
     def enter(self, state: ConnectionState) -> None:
         """Change the state."""
@@ -62,6 +63,7 @@
     """Takes the place of a connection that has ended: nothing is written, and its state does not change."""
 
     state = ConnectionState.LINGERING
+    waited_s = 0.0
 
     def enter(self, state: ConnectionState) -> None:
         """Ignore the state."""
@@ -190,7 +192,7 @@
         payload = job_payload(request, self.channel.body)
         self.read_ahead.set_size(self.channel.receiver.held_bytes)
         self.open_request = context.coordinator.submit(
-            job_class, metadata, payload, self._respond_with_result
+            job_class, metadata, payload, self._respond_with_result, int(self.connection.waited_s * 1e9)
         )
         if self.open_request is None:
             self.reject_overload("too many requests are open (caps.max_open)")
