Count responses of workers in the budget, and subtract the list of workers from the plan

Cause: bodies of workers' responses, up to 64 KB on each of three tenths of the descriptors, and the endpoint list were not part of what all connections together may hold.

Change: one BufferBudget for all connections of the process; a body over 4 KiB beyond it ends as a lost connection; 8 KB a worker of the cached list are subtracted from the plan.

Measured: tests/test_memory_plan.py.

--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from example.toy import read_message
+from example.toy import Message, encode_message, read_message
 from tests.site import job, run_scenario, site, until
 from weldquay.limits import (
     BASE_MEMORY_MB,
@@ -15,6 +15,7 @@
     MIN_BUFFERED_BYTES,
     RESERVED_DESCRIPTORS,
     UNREAD_BYTES,
+    WORKER_BYTES,
 )
 from weldquay.net.buffer_budget import BufferBudget, BufferShare
 from weldquay.net.memory_plan import MIB, plan_memory
@@ -154,3 +155,32 @@
             assert test_site.process.counters.counts["client_connections_abandoned"] == 3
 
     run_scenario(scenario())
+
+
+def test_the_list_of_workers_is_subtracted_from_the_plan() -> None:
+    """A list of 3,200 workers takes 25 MB with departed ones."""
+    without, with_list = plan_memory(192, 1024), plan_memory(192, 1024, workers=3200)
+    assert with_list.client_connections == without.client_connections
+    difference = (without.buffered_bytes - with_list.buffered_bytes) * BUFFER_OVERHEAD
+    assert abs(difference - 3200 * WORKER_BYTES) < 2 * BUFFER_OVERHEAD
+
+
+def test_a_large_response_beyond_the_budget_is_dropped() -> None:
+    """Its bytes count for all connections while it is read; a small response is always read."""
+
+    async def scenario() -> None:
+        async with site() as test_site:
+            worker, budget = test_site.workers[0], test_site.process.server.context.buffer_budget
+            sizes = [20_000, 100]
+
+            async def refuse(_message: Message, writer: asyncio.StreamWriter) -> None:
+                writer.write(encode_message("HTTP/1.1 400 Bad Request", b"x" * sizes.pop(0)))
+
+            worker.script = refuse
+            budget.max_bytes = 10_000
+            for number, outcome in enumerate(("attempts_reset", "attempts_unprocessable")):
+                await test_site.post(f"c{number}", "/import")
+                assert test_site.process.counters.counts[outcome] == 1
+            await until(lambda: budget.used_bytes == 0)
+
+    run_scenario(scenario())
--- a/weldquay/limits.py
+++ b/weldquay/limits.py
@@ -23,6 +23,7 @@
 WORKER_DESCRIPTORS_IN_TENTHS = 3  # of the descriptors, for connections to workers
 CONNECTION_BYTES = 128 * 1024  # upper bound for one connection: its body, its read buffer and its objects
 BASE_MEMORY_MB = 32  # used by the process without clients, with the list of a small fleet
+WORKER_BYTES = 8 * 1024  # of a worker of the endpoint list, with its share of departed ones
 IDLE_CONNECTION_BYTES = 16 * 1024  # objects of a connection without a request
 MIN_CLIENT_CONNECTIONS = 64  # however low the memory limit, as far as there are descriptors
 UNREAD_BYTES = 32 * 1024  # of one client connection, while reading is paused
--- a/weldquay/net/client_context.py
+++ b/weldquay/net/client_context.py
@@ -4,14 +4,12 @@
 
 from collections.abc import Callable
 
-from weldquay.net.buffer_budget import BufferBudget
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.hot_restart_messages import MigratedConnection, MigratedRequest
 from weldquay.net.http_channel import parse_request
-from weldquay.net.memory_plan import MemoryPlan
 from weldquay.net.messages import encode_text, job_payload, parse_request_metadata
-from weldquay.net.read_ahead import ReadAheadBudget
+from weldquay.net.read_ahead import ConnectionBudgets
 from weldquay.net.read_scheduler import ReadScheduler
 from weldquay.net.recent_ids import RECENT_ID_LIFETIME_S, RecentIds
 from weldquay.net.request_coordinator import RequestCoordinator
@@ -37,14 +35,14 @@
         counters: Counters,
         coordinator: RequestCoordinator,
         is_serving: Callable[[], bool],
-        plan: MemoryPlan,
+        budgets: ConnectionBudgets,
     ) -> None:
         """Create the context; is_serving: returns the result for health checks."""
         self.counters = counters
         self.coordinator = coordinator
         self.is_serving = is_serving
-        self.buffer_budget = BufferBudget(plan.buffered_bytes)
-        self.read_ahead_budget = ReadAheadBudget(plan.read_ahead_bytes)
+        self.buffer_budget = budgets.buffers
+        self.read_ahead_budget = budgets.read_ahead
         self.tasks = Tasks()
         self.read_scheduler = ReadScheduler()
         self.is_closing = False  # each connection closes after its next response
--- a/weldquay/net/client_server.py
+++ b/weldquay/net/client_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from weldquay.net.buffer_budget import BufferBudget
 from weldquay.net.client_connection import AdoptedConnection, ClientConnection
 from weldquay.net.client_context import ClientContext
 from weldquay.net.config import Address, Config
@@ -17,6 +18,7 @@
 from weldquay.net.counters import Counters
 from weldquay.net.hot_restart_messages import NO_DESCRIPTOR, MigratedConnection
 from weldquay.net.memory_plan import plan_memory
+from weldquay.net.read_ahead import ConnectionBudgets, ReadAheadBudget
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.streams import READABLE, CountingReader, limit_receive_size, socket_has_event
 
@@ -55,16 +57,27 @@
         counters: Counters,
         coordinator: RequestCoordinator,
         is_serving: Callable[[], bool],
+        buffers: BufferBudget | None = None,
     ) -> None:
-        """Create the server without a listener; is_serving: returns the result for health checks."""
-        plan = plan_memory(config.memory_mb, config.sockets)
+        """Create the server without a listener.
+
+        Args:
+            config: the configuration.
+            counters: the metrics of the process.
+            coordinator: gets the requests and callbacks.
+            is_serving: returns the result for health checks.
+            buffers: what all connections of the process may hold; None: a budget of its own.
+        """
+        plan = plan_memory(config.memory_mb, config.sockets, len(config.known.endpoints))
         self.table: ConnectionTable[ClientConnection] = ConnectionTable(counters, plan.client_connections)
         self.context = ClientContext(
             config,
             counters,
             coordinator,
             is_serving,
-            plan,
+            ConnectionBudgets(
+                buffers or BufferBudget(plan.buffered_bytes), ReadAheadBudget(plan.read_ahead_bytes)
+            ),
         )
         self.waiting_connections = 0  # accepted, and not counted as long as they wait for capacity
         self.listener: socket.socket | None = None
--- a/weldquay/net/connection_pool.py
+++ b/weldquay/net/connection_pool.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from weldquay.net.buffer_budget import BufferBudget
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.memory_plan import plan_memory
@@ -35,7 +36,9 @@
 class ConnectionPool:
     """Opens connections, keeps idle ones for reuse, and enforces the limit on open connections."""
 
-    def __init__(self, config: Config, counters: Counters) -> None:
+    def __init__(self, config: Config, counters: Counters, buffers: BufferBudget) -> None:
+        """Create the pool; buffers: what all connections of the process may hold."""
+        self._buffers = buffers
         self._counters = counters
         self._tasks = Tasks()
         self.reconfigure(config)
@@ -130,7 +133,7 @@
             raise
         self._counters.add("worker_connections")
         self._tasks.start(self._wait_until_closed(writer), "wait for a worker connection to close")
-        return WorkerConnection(reader, writer)
+        return WorkerConnection(reader, writer, self._buffers)
 
     def has_stalled(self, timeout: PeerTimeout) -> bool:
         """Return whether a stall of this process caused an expired timeout; stalls are counted."""
--- a/weldquay/net/dispatcher_components.py
+++ b/weldquay/net/dispatcher_components.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from weldquay.net.buffer_budget import BufferBudget
 from weldquay.net.client_server import ClientServer
 from weldquay.net.config import Config
 from weldquay.net.counters import Counters
 from weldquay.net.discovery_client import DiscoveryClient
 from weldquay.net.lifecycle import Lifecycle
+from weldquay.net.memory_plan import plan_memory
 from weldquay.net.readiness import Readiness
 from weldquay.net.request_coordinator import RequestCoordinator
 from weldquay.net.tasks import Tasks
@@ -24,9 +26,13 @@
         self.tasks = Tasks()
         self.coordinator = RequestCoordinator(config, self.counters)
         self.readiness = Readiness(self.lifecycle, self.coordinator)
-        self.workers = HttpWorkerClient(config, self.counters, self.coordinator)
+        plan = plan_memory(config.memory_mb, config.sockets, len(config.known.endpoints))
+        buffers = BufferBudget(plan.buffered_bytes)  # of connections to workers, too
+        self.workers = HttpWorkerClient(config, self.counters, self.coordinator, buffers)
         self.discovery = DiscoveryClient(config, self.coordinator)
-        self.server = ClientServer(config, self.counters, self.coordinator, self.readiness.is_serving)
+        self.server = ClientServer(
+            config, self.counters, self.coordinator, self.readiness.is_serving, buffers
+        )
 
     def describe_memory(self) -> str:
         """Return what holds memory in this process, as one line."""
--- a/weldquay/net/memory_plan.py
+++ b/weldquay/net/memory_plan.py
@@ -13,6 +13,7 @@
     READ_AHEAD_FRACTION,
     RESERVED_DESCRIPTORS,
     UNREAD_BYTES,
+    WORKER_BYTES,
     WORKER_DESCRIPTORS_IN_TENTHS,
 )
 from weldquay.net.connection_table import MIN_CONNECTIONS
@@ -37,12 +38,12 @@
     read_ahead_bytes: int
 
 
-def plan_memory(memory_mb: int, sockets: int) -> MemoryPlan:
-    """Return the plan of a process.
+def plan_memory(memory_mb: int, sockets: int, workers: int = 0) -> MemoryPlan:
+    """Return the plan of a process; workers: the number of workers in its endpoint list.
 
     Connections without a request get at most half of the memory beyond that of the process itself.
     """
-    available_bytes = max(0, memory_mb - BASE_MEMORY_MB) * MIB
+    available_bytes = max(0, (memory_mb - BASE_MEMORY_MB) * MIB - workers * WORKER_BYTES)
     worker_connections = sockets * WORKER_DESCRIPTORS_IN_TENTHS // 10
     client_bytes = IDLE_CONNECTION_BYTES + UNREAD_BYTES
     descriptors = max(MIN_CONNECTIONS, sockets - worker_connections - RESERVED_DESCRIPTORS)
--- a/weldquay/net/read_ahead.py
+++ b/weldquay/net/read_ahead.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from weldquay.net.buffer_budget import BufferBudget, BufferShare
 
 # The read-ahead that each connection may always have.
@@ -14,6 +16,19 @@
     """The total read-ahead of all connections, and its limit."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionBudgets:
+    """The budgets that client connections share.
+
+    Attributes:
+        buffers: what all connections of the process hold.
+        read_ahead: the part of it that client connections hold behind open requests.
+    """
+
+    buffers: BufferBudget
+    read_ahead: ReadAheadBudget
+
+
 class ReadAhead(BufferShare):
     """The read-ahead of one connection."""
 
--- a/weldquay/net/worker_client.py
+++ b/weldquay/net/worker_client.py
@@ -7,6 +7,7 @@
 
 from weldquay import interface as api
 from weldquay.net.attempt_runner import AttemptRunner
+from weldquay.net.buffer_budget import BufferBudget
 from weldquay.net.cancellation import JobCancellation
 from weldquay.net.config import Config
 from weldquay.net.connection_pool import ConnectionPool
@@ -21,10 +22,13 @@
 class HttpWorkerClient:
     """Sends attempts, cancellations and health checks to workers over HTTP; implements `WorkerClient`."""
 
-    def __init__(self, config: Config, counters: Counters, coordinator: RequestCoordinator) -> None:
+    def __init__(
+        self, config: Config, counters: Counters, coordinator: RequestCoordinator, buffers: BufferBudget
+    ) -> None:
+        """Create the client; buffers: what all connections of the process may hold."""
         self.coordinator = coordinator
         self.workers: dict[str, WorkerEndpoint] = {}
-        self.connections = ConnectionPool(config, counters)
+        self.connections = ConnectionPool(config, counters, buffers)
         self.cancellation = JobCancellation(counters, self.workers, self.connections)
         self.attempts = AttemptRunner(config, coordinator, self.workers, self.connections, self.cancellation)
         self.health_checks = HealthChecker(config, coordinator, self.connections)
--- a/weldquay/net/worker_connection.py
+++ b/weldquay/net/worker_connection.py
@@ -9,11 +9,13 @@
 
 import h11
 
+from weldquay.net.buffer_budget import BufferBudget, BufferShare
 from weldquay.net.http_receiver import HttpReceiver
 from weldquay.net.messages import MAX_BODY_BYTES, Body
 from weldquay.net.streams import CountingReader, has_unread_bytes
 
 READ_SIZE = 16 * 1024  # bytes
+MAX_UNBUDGETED_BYTES = 4 * 1024  # of the body of a response that is read whatever others hold
 MAX_HEAD_BYTES = 16 * 1024  # limit for the head of a response
 
 
@@ -45,7 +47,9 @@
 class WorkerConnection:
     """One connection to a worker, for one request at a time."""
 
-    def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter, buffers: BufferBudget) -> None:
+        """Use a connection; buffers: what all connections of the process may hold."""
+        self.held = BufferShare(buffers)
         self.reader = reader
         self.writer = writer
         writer.transport.set_write_buffer_limits(high=0)  # makes drain wait until all bytes are written
@@ -74,6 +78,8 @@
             return await self._read_response()
         except (OSError, h11.RemoteProtocolError) as error:
             raise ConnectionLost(f"reading the response failed: {error}") from error
+        finally:
+            self.held.set_size(0)
 
     async def _read_response(self) -> WorkerResponse:
         status = 0
@@ -92,6 +98,9 @@
                 body += event.data
                 if len(body) > MAX_BODY_BYTES:
                     raise h11.RemoteProtocolError(f"the body is longer than {MAX_BODY_BYTES} bytes")
+                self.held.set_size(len(body))
+                if len(body) > MAX_UNBUDGETED_BYTES and self.held.budget.is_exceeded:
+                    raise h11.RemoteProtocolError("all connections together hold too much")
             elif isinstance(event, h11.EndOfMessage):
                 return WorkerResponse(status, headers, bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
