Review cases 7 and 10: the dispatcher rejects all jobs for good

Cause: a rejected request leaves its time under a fingerprint without an end, and each later request that is alike takes it for its own; a worker that has failed one job gets no job that must not run twice before a success there.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -23,6 +23,8 @@
 HEARTBEAT_S = 2.0
 CALLBACK_TRIES = 10
 READY_TIMEOUT_S = 20.0
+SLOTS = 4  # of a worker with slots
+MAX_WAITING = 6  # jobs in its waiting room
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -220,6 +222,54 @@
             task.cancel()
 
 
+class SlotWorker(MatchWorker):
+    """A match worker with slots; it starts waiting jobs in order and reports its load in every answer."""
+
+    def __init__(self, name: str, dispatcher_port: int, record: Record) -> None:
+        super().__init__(name, dispatcher_port, record)
+        self.busy = 0
+        self.waiting: list[tuple[str, float, int]] = []
+
+    def report(self) -> dict[str, float]:
+        """Return the load report."""
+        free = SLOTS - self.busy
+        return {"svc_ms": 600.0, "pending": len(self.waiting), "x0": free, "x1": free}
+
+    def _answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        if message.method == "GET":
+            writer.write(encode("HTTP/1.1 200 OK", json.dumps(self.report()).encode()))
+            return
+        request_id = message.headers.get("x-correlation-id") or message.target.rsplit("/", 1)[1]
+        if message.method == "DELETE":
+            self.record.write(f"worker {self.name}: DELETE of {request_id}")
+            self.waiting = [job for job in self.waiting if job[0] != request_id]
+            writer.write(encode("HTTP/1.1 204 No Content"))
+        elif len(self.waiting) >= MAX_WAITING:
+            load = f"X-Backend-Load: {json.dumps(self.report())}"
+            writer.write(encode("HTTP/1.1 503 Full", b"", "X-Unprocessed: 1", load))
+        else:
+            self.record.write(f"worker {self.name}: attempt of {request_id} came")
+            self.received.append((request_id, self.record.now()))
+            job = json.loads(message.body)
+            self.waiting.append((request_id, job["run_s"], int(job["slots"])))
+            writer.write(encode("HTTP/1.1 202 Accepted"))
+            self._begin_waiting()
+
+    def _begin_waiting(self) -> None:
+        while self.waiting and self.busy + self.waiting[0][2] <= SLOTS:
+            request_id, run_s, slots = self.waiting.pop(0)
+            self.busy += slots
+            self._start(self._run_job(request_id, run_s, slots))
+
+    async def _run_job(self, request_id: str, run_s: float, slots: int) -> None:
+        self._start(self.call_back(request_id, {"state": "started"}))
+        await asyncio.sleep(run_s)
+        self.busy -= slots
+        fields = {"state": "done", "result": f"{request_id} by {self.name}", "load": self.report()}
+        self._start(self.call_back(request_id, fields))
+        self._begin_waiting()
+
+
 class Discovery:
     """Discovery, or the agent on its machine: each watch gets the list, then each changed list."""
 
@@ -447,6 +497,20 @@
     return settings
 
 
+def longest_rejection(events: list[tuple[float, bool]]) -> tuple[float, int]:
+    """Return the longest time on end without an attempt in which all was rejected, and how many requests.
+
+    events: the times of rejections (True), and of attempts and other answers (False).
+    """
+    longest, count = 0.0, 0
+    run: list[float] = []
+    for at, is_rejection in sorted(events):
+        run = [*run, at] if is_rejection else []
+        if run and run[-1] - run[0] > longest:
+            longest, count = run[-1] - run[0], len(run)
+    return longest, count
+
+
 def run_case(folder: Path, scenario: Callable[[Record, Path], Awaitable[list[str]]]) -> int:
     """Run a scenario, which returns the breaks of the rule, and return the exit status."""
     record = Record(folder / "record.txt")
