--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,136 +1,100 @@
-"""Case 10: after an upgrade a drained dispatcher keeps a connection that comes from the older process."""
+"""Case 10: after a burst the dispatcher rejects all that it gets, for good, while all workers are idle."""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import signal
 import sys
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
 from stand_ins_2 import (
-    CaseError,
+    Client,
     Discovery,
     Dispatcher,
-    MatchWorker,
     Record,
-    call,
-    encode,
+    SlotWorker,
     free_port,
     has_trouble,
-    read_message,
+    longest_rejection,
     run_case,
     settings_of,
 )
 
-JOB_S = 1.2
-SLOW_WRITE_S = 1.2  # a client that writes slowly needs so long for its request
-DRAINED_AFTER_S = 4.0
+USUAL_PER_S = 7.0
+BURST_FACTOR = 1.5
+USUAL_S, BURST_S, AFTER_S = 3.0, 8.0, 30.0
+MAX_REJECTING_S = 4.0
+MIN_REJECTED = 15
+# The jobs are alike, and their clients guess their work alike.
+RUN_S = 0.7
+SLOTS_EACH = 2
+GIVE_UP_S = 7.5
 CLASSES: list[dict[str, Any]] = [
     {
-        "name": "batch-import",
-        "aim_ns": 2_000_000_000,
-        "give_up_ns": 15_000_000_000,
-        "effect": "fragile",
-        "worth": 8.0,
+        "name": "fuzzy-match",
+        "aim_ns": 500_000_000,
+        "give_up_ns": int(GIVE_UP_S * 1e9),
+        "effect": "retryable",
+        "worth": 1.0,
     }
 ]
 
 
-async def operate(dispatcher: Dispatcher, method: str, path: str) -> bool:
-    """Send an operators' call and return whether the answer is yes."""
-    port = int(dispatcher.config["mgmt"].rpartition(":")[2])
-    with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-        return (await call(port, encode(f"{method} /control/{path} HTTP/1.1"), 1.0)).status // 100 == 2
-    return False
-
-
-async def until_ready(dispatcher: Dispatcher) -> None:
-    """Ask until the process is ready, for 6 s at the most."""
-    for _ in range(200):
-        if await operate(dispatcher, "GET", "ready"):
-            return
-        await asyncio.sleep(0.03)
-    raise CaseError("the newer process is not ready within 6 s")
-
-
-async def is_open(reader: asyncio.StreamReader) -> bool:
-    """Return whether the dispatcher has not ended the connection."""
-    with suppress(TimeoutError, OSError):
-        async with asyncio.timeout(0.05):
-            await reader.read(1)
-            return False
-    return not reader.at_eof()
-
-
 async def scenario(record: Record, folder: Path) -> list[str]:
-    """Upgrade a dispatcher while a client writes its request, then drain the newer process."""
+    """Send the usual traffic, with a burst in it."""
     port = free_port()
-    worker, discovery = MatchWorker("a", port, record), Discovery(record)
-    await worker.start()
-    discovery.put(worker)
+    workers = [SlotWorker(name, port, record) for name in ("a", "b", "c")]
+    discovery = Discovery(record)
+    for worker in workers:
+        await worker.start()
+        discovery.put(worker)
     await discovery.start()
-    settings = settings_of(CLASSES, load_info={"fields": ["svc_ms", "pending", "x0", "x1"], "via": "inline"})
-    older, newer = (Dispatcher(folder, record, port, settings) for _ in range(2))
-    newer.config_path = folder / "newer.json"
-    older.configure(discovery)
-    newer.configure(discovery)
-    writer: asyncio.StreamWriter | None = None
-    try:
-        await older.start()
-        request = encode(
-            "POST /batch-import HTTP/1.1",
-            json.dumps({"run_s": JOB_S}).encode(),
-            "X-Correlation-Id: slow",
-            "X-Time-Left-Ms: 15000",
+    settings = settings_of(
+        CLASSES,
+        group_size=1,
+        load_info={"fields": ["svc_ms", "pending", "x0", "x1"], "via": "inline"},
+        family_info={"tells_start": True},
+    )
+    dispatcher = Dispatcher(folder, record, port, settings)
+    dispatcher.configure(discovery)
+    client = Client(port, record)
+    events: list[tuple[float, bool]] = []
+
+    async def post(number: int) -> None:
+        facts = f"X-Facts: slots={SLOTS_EACH},memory={SLOTS_EACH}"
+        hint = f"X-Weight-Hint: {int(RUN_S * 1e6)}"
+        outcome = await client.post(
+            f"r{number}", "/fuzzy-match", RUN_S, GIVE_UP_S, facts, hint, slots=SLOTS_EACH
         )
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(request[:40])
-        record.write("client: writes the first part of its request")
-        await asyncio.sleep(0.1)
+        events.append((record.now(), outcome.startswith("503")))
+
+    try:
+        await dispatcher.start()
         begun_at = record.now()
-        serving = older
-        if has_trouble():
-            record.write("platform: starts the newer process")
-            await newer.start()
-            await until_ready(newer)
-            record.write("newer process: ready")
-            older.signal(signal.SIGTERM)
-            serving = newer
-        await asyncio.sleep(max(0.0, begun_at + SLOW_WRITE_S - record.now()))
-        writer.write(request[40:])
-        record.write("client: writes the rest of its request")
-        await asyncio.sleep(0.2)
-        if not await operate(serving, "POST", "out-of-service"):
-            raise CaseError("the drain was refused")
-        drained_at = record.now()
-        record.write("operators: out-of-service, yes")
-        async with asyncio.timeout(10):
-            answer = await read_message(reader)
-        record.write(f"client: got {answer.status}, connection: {answer.headers.get('connection', 'kept')}")
-        await asyncio.sleep(max(0.0, drained_at + DRAINED_AFTER_S - record.now()))
-        is_held = await is_open(reader)
+        tasks = []
+        number = 0
+        while (elapsed_s := record.now() - begun_at) < USUAL_S + BURST_S + AFTER_S:
+            in_burst = has_trouble() and USUAL_S <= elapsed_s < USUAL_S + BURST_S
+            tasks.append(asyncio.create_task(post(number)))
+            number += 1
+            await asyncio.sleep(1 / (USUAL_PER_S * (BURST_FACTOR if in_burst else 1.0)))
+        await asyncio.gather(*tasks)
+        events += [(came_at, False) for worker in workers for _, came_at in worker.received]
+        longest_s, count = longest_rejection(events)
+        served = sum(outcome.startswith("200") for outcome, _ in client.answers.values())
         record.write(
-            f"4 s after the drain: the client's connection is {'held idle' if is_held else 'closed'}"
+            f"{number} requests, {served} served; all rejected for {longest_s:.1f} s on end ({count})"
         )
-        if is_held:
-            writer.write(request.replace(b"slow", b"next"))
-            async with asyncio.timeout(10):
-                record.write(
-                    f"client: its next job on that connection got {(await read_message(reader)).status}"
-                )
-        return ["a client's connection is held idle 4 s after the drain"] if is_held else []
+        if longest_s >= MAX_REJECTING_S and count >= MIN_REJECTED:
+            return [f"the dispatcher rejected all {count} requests of {longest_s:.1f} s, with no attempt"]
+        return []
     finally:
-        if writer is not None:
-            writer.transport.abort()
-        await older.stop()
-        await newer.stop()
+        await dispatcher.stop()
         discovery.stop()
-        worker.stop()
+        for worker in workers:
+            worker.stop()
 
 
 sys.exit(run_case(Path(__file__).parent, scenario))
